--- /dev/null
+++ b/apps/fireflyhavenctl.cpp
@@ -0,0 +1,337 @@
+#include "fireflyhaven/common/crypto.h"
+#include "fireflyhaven/common/json.h"
+#include "fireflyhaven/config/configfold.h"
+#include "fireflyhaven/http/client.h"
+#include "fireflyhaven/settings/optionparser.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace fireflyhaven;
+
+namespace {
+
+constexpr int STATUS_LAST_OK = 299;
+constexpr int EXIT_REFUSED = 1;
+
+struct Settings {
+    std::string ip = "127.0.0.1";
+    std::uint16_t port = 8080;
+    std::string operatorKey;
+    std::string workspaceKey;
+    std::string task = "chat";
+    std::string model = "auto";
+    std::string session;
+    std::string idempotencyKey;
+    std::string requestId;
+    long maxTokens = 32;
+    bool wait = false;
+    bool stream = false;
+};
+
+using Arguments = std::vector<std::string>;
+
+struct Command {
+    const char* name;
+    const char* arguments;
+    const char* help;
+    std::size_t least;
+    std::size_t most;
+    Result<int> (*run)(const Settings&, const Arguments&);
+};
+
+std::string urlOf(const Settings& it, const std::string& path)
+{
+    return "http://" + it.ip + ":" + std::to_string(it.port) + path;
+}
+
+Result<std::string> readFile(const std::string& name)
+{
+    std::ifstream in(name);
+    if (!in)
+        return failure(ErrorCode::InvalidArgument, name + ": cannot be read");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+Result<http::CallOutcome> callHost(const http::Call& call)
+{
+    http::CallOutcome outcome = http::perform(call);
+    if (outcome.reached != http::Reached::Answered)
+        return failure(ErrorCode::Unavailable, call.url + ": " + outcome.error);
+    return outcome;
+}
+
+http::Call operatorCall(const Settings& it, const std::string& method, const std::string& path, std::string body = {})
+{
+    constexpr Duration TIMEOUT { 40'000 };
+    return { .method = method,
+        .url = urlOf(it, path + (it.wait && method != "GET" ? "?wait=in_force" : "")),
+        .headers = { { "Authorization", "Bearer " + it.operatorKey }, { "Content-Type", "application/json" } },
+        .body = std::move(body),
+        .timeout = TIMEOUT };
+}
+
+// Prints the answer; exit code 1 where it is a refusal.
+int printAnswer(const http::CallOutcome& outcome)
+{
+    const auto document = parseJson(outcome.response.body);
+    std::cout << (document ? document->dump(2) : outcome.response.body) << "\n";
+    return outcome.response.status <= STATUS_LAST_OK ? 0 : EXIT_REFUSED;
+}
+
+Result<int> callAndPrint(const http::Call& call)
+{
+    BOOST_LEAF_AUTO(outcome, callHost(call));
+    return printAnswer(outcome);
+}
+
+Result<int> apply(const Settings& it, const Arguments& arguments)
+{
+    BOOST_LEAF_AUTO(text, readFile(arguments[0]));
+    return callAndPrint(operatorCall(it, "PUT", "/admin/v1/config", text));
+}
+
+Result<int> get(const Settings& it, const Arguments& arguments)
+{
+    return callAndPrint(
+        operatorCall(it, "GET", "/admin/v1/config" + (arguments.empty() ? std::string() : "/" + arguments[0])));
+}
+
+Result<int> diff(const Settings& it, const Arguments& arguments)
+{
+    BOOST_LEAF_AUTO(text, readFile(arguments[0]));
+    const auto wanted = parseJson(text);
+    std::vector<config::Fault> faults;
+    config::parseLists(wanted.value_or(nlohmann::json()), faults);
+    for (const config::Fault& fault : faults)
+        std::cerr << fault.path << ": expected " << fault.expected << "\n";
+    if (!faults.empty())
+        return EXIT_REFUSED;
+    BOOST_LEAF_AUTO(outcome, callHost(operatorCall(it, "GET", "/admin/v1/config")));
+    const auto current = parseJson(outcome.response.body);
+    if (outcome.response.status > STATUS_LAST_OK || !current)
+        return printAnswer(outcome);
+    const config::Lists lists = config::parseLists(*current, faults);
+    const config::ChangeSet changes = config::diffLists(lists, *wanted);
+    for (const config::Change& change : changes) {
+        const nlohmann::json& items = (*current)[config::collectionName(change.collection)];
+        const bool exists = items.contains(change.key);
+        std::cout << config::collectionName(change.collection) << " " << change.key << "\n";
+        if (exists)
+            std::cout << "  - " << items[change.key].dump() << "\n";
+        if (!change.body.is_null())
+            std::cout << "  + " << change.body.dump() << "\n";
+    }
+    return 0;
+}
+
+Result<int> act(const Settings& it, const std::string& action, const std::string& collection, const std::string& key)
+{
+    const nlohmann::json body { { "action", action }, { "collection", collection }, { "key", key } };
+    return callAndPrint(operatorCall(it, "POST", "/admin/v1/actions", body.dump()));
+}
+
+std::string placeCollection(const std::string& kind) { return kind == "data-centre" ? "data_centres" : "upstreams"; }
+
+Result<int> actOnPlace(const Settings& it, const std::string& action, const Arguments& arguments)
+{
+    if (arguments[0] != "data-centre" && arguments[0] != "upstream")
+        return failure(ErrorCode::InvalidArgument, arguments[0] + ": expected data-centre or upstream");
+    return act(it, action, placeCollection(arguments[0]), arguments[1]);
+}
+
+Result<int> drain(const Settings& it, const Arguments& arguments) { return actOnPlace(it, "drain", arguments); }
+Result<int> restore(const Settings& it, const Arguments& arguments) { return actOnPlace(it, "restore", arguments); }
+Result<int> withdraw(const Settings& it, const Arguments& arguments)
+{
+    return act(it, "withdraw", "versions", arguments[0]);
+}
+Result<int> retire(const Settings& it, const Arguments& arguments)
+{
+    return act(it, "retire", "versions", arguments[0]);
+}
+Result<int> activate(const Settings& it, const Arguments& arguments)
+{
+    return act(it, "activate", "versions", arguments[0]);
+}
+Result<int> reinstate(const Settings& it, const Arguments& arguments)
+{
+    return act(it, "reinstate", "versions", arguments[0]);
+}
+Result<int> dump(const Settings& it, const Arguments&)
+{
+    return callAndPrint(operatorCall(it, "GET", "/admin/v1/state"));
+}
+Result<int> billing(const Settings& it, const Arguments&)
+{
+    return callAndPrint(operatorCall(it, "GET", "/admin/v1/bills"));
+}
+Result<int> addresses(const Settings& it, const Arguments&)
+{
+    return callAndPrint({ .url = urlOf(it, "/v1/addresses") });
+}
+
+Result<int> status(const Settings& it, const Arguments&)
+{
+    BOOST_LEAF_AUTO(outcome, callHost(operatorCall(it, "GET", "/admin/v1/state")));
+    const auto state = parseJson(outcome.response.body);
+    if (outcome.response.status > STATUS_LAST_OK || !state)
+        return printAnswer(outcome);
+    std::cout << "host " << (*state)["host"]["id"].get<std::string>() << ", log "
+              << ((*state)["log"]["reachable"].get<bool>() ? "reachable" : "unreachable") << " at "
+              << (*state)["log"]["offset"] << ", may act: " << (*state)["membership"]["may_act"] << "\n";
+    for (const auto& [id, member] : (*state)["membership"]["members"].items()) {
+        std::cout << "  member " << id << " in " << member["data_centre"].get<std::string>()
+                  << (member["voter"].get<bool>() ? "" : ", learner")
+                  << (member["heard"].get<bool>() ? "" : ", not heard") << "\n";
+    }
+    for (const auto& [id, owner] : (*state)["ownership"].items())
+        std::cout << "  upstream " << id << " owned by " << owner["owner"].get<std::string>() << "\n";
+    return 0;
+}
+
+Result<int> digest(const Settings&, const Arguments& arguments)
+{
+    std::cout << digestHex(arguments[0]) << "\n";
+    return 0;
+}
+
+http::Headers callerHeaders(const Settings& it)
+{
+    http::Headers headers { { "Authorization", "Bearer " + it.workspaceKey }, { "Content-Type", "application/json" },
+        { "X-Task", it.task } };
+    if (!it.session.empty())
+        headers["X-Session"] = it.session;
+    if (!it.requestId.empty())
+        headers["X-Request-Id"] = it.requestId;
+    return headers;
+}
+
+Result<int> send(const Settings& it, const Arguments& arguments)
+{
+    constexpr Duration TIMEOUT { 120'000 };
+    const nlohmann::json message { { "role", "user" }, { "content", arguments[0] } };
+    const nlohmann::json body { { "model", it.model }, { "stream", it.stream }, { "max_tokens", it.maxTokens },
+        { "messages", nlohmann::json::array({ message }) } };
+    const http::Call call { .method = "POST",
+        .url = urlOf(it, "/v1/chat/completions"),
+        .headers = callerHeaders(it),
+        .body = body.dump(),
+        .timeout = TIMEOUT };
+    std::string rest;
+    const auto print = [&](int, std::string_view piece) {
+        std::cout << piece << std::flush;
+        rest.append(piece);
+        return true;
+    };
+    const http::CallOutcome outcome = http::performStreaming(call, print, {});
+    if (outcome.reached != http::Reached::Answered)
+        return failure(ErrorCode::Unavailable, outcome.error);
+    std::cout << "\n";
+    for (const char* name : { "x-model-version", "x-session", "x-request-id", "location" }) {
+        if (outcome.response.headers.count(name))
+            std::cout << name << ": " << outcome.response.headers.at(name) << "\n";
+    }
+    const bool whole = !it.stream || rest.find("data: [DONE]") != std::string::npos;
+    return outcome.response.status <= STATUS_LAST_OK && whole ? 0 : EXIT_REFUSED;
+}
+
+Result<int> callService(const Settings& it, const Arguments& arguments)
+{
+    http::Call call { .method = "POST",
+        .url = urlOf(it, "/v1/services/" + arguments[0]),
+        .headers = callerHeaders(it),
+        .body = arguments.size() > 1 ? arguments[1] : "{}" };
+    if (!it.idempotencyKey.empty())
+        call.headers["Idempotency-Key"] = it.idempotencyKey;
+    BOOST_LEAF_AUTO(outcome, callHost(call));
+    if (outcome.response.headers.count("x-idempotent-replay"))
+        std::cout << "replayed: ";
+    return printAnswer(outcome);
+}
+
+constexpr Command COMMANDS[] = {
+    { "apply", "FILE", "Make the lists what the document says; lists that it does not name stay.", 1, 1, apply },
+    { "get", "[LIST]", "Print the lists, or one of them.", 0, 1, get },
+    { "diff", "FILE", "Print what `apply` would change.", 1, 1, diff },
+    { "status", "", "Print members and owners as one host sees them.", 0, 0, status },
+    { "drain", "data-centre|upstream NAME", "Take out of service.", 2, 2, drain },
+    { "restore", "data-centre|upstream NAME", "Take back into service.", 2, 2, restore },
+    { "withdraw", "MODEL@VERSION", "Give a version no new work at all.", 1, 1, withdraw },
+    { "retire", "MODEL@VERSION", "Give a version no new sessions.", 1, 1, retire },
+    { "activate", "MODEL@VERSION", "Give a version work again.", 1, 1, activate },
+    { "reinstate", "MODEL@VERSION", "Lift the suspension of a version.", 1, 1, reinstate },
+    { "dump", "", "Print the state of one host.", 0, 0, dump },
+    { "billing", "", "Count the bills in the log, the first of each request id.", 0, 0, billing },
+    { "addresses", "", "Print the entry hosts to use.", 0, 0, addresses },
+    { "send", "TEXT", "Send a chat request.", 1, 1, send },
+    { "call", "SERVICE/PATH [BODY]", "Call a plain service.", 1, 2, callService },
+    { "digest", "KEY", "Print the key_digest of a workspace's key.", 1, 1, digest },
+};
+
+std::string describeCommands()
+{
+    std::string text = "Tool for operators and callers of fireflyhaven.\n\nCommands:";
+    for (const Command& it : COMMANDS)
+        text += "\n  " + std::string(it.name) + " " + it.arguments + "\n      " + it.help;
+    return text;
+}
+
+Result<int> run(int argc, char** argv)
+{
+    Settings it;
+    using namespace settings;
+    const std::vector<Option> options {
+        { "entry", "IP:PORT", "Entry host to talk to.", setAddress(it.ip, it.port) },
+        { "wait", "", "Wait until the change is in force on every live host.", setFlag(it.wait) },
+        { "task", "NAME", "send: the task.", setText(it.task) },
+        { "model", "NAME", "send: a model, model@version or auto.", setText(it.model) },
+        { "session", "HANDLE", "send: continue this session.", setText(it.session) },
+        { "request-id", "ID", "send, call: the request id.", setText(it.requestId) },
+        { "max-tokens", "N", "send: longest answer.", setInteger(it.maxTokens, 1, 32'768) },
+        { "stream", "", "send: stream the answer.", setFlag(it.stream) },
+        { "idempotency-key", "KEY", "call: key of a call that may run once, UNIX_MILLISECONDS-TEXT.",
+            setText(it.idempotencyKey) },
+        { .name = "operator-key",
+            .value = "TEXT",
+            .help = "The operator's key.",
+            .set = setText(it.operatorKey),
+            .environmentOnly = true },
+        { .name = "workspace-key",
+            .value = "TEXT",
+            .help = "The workspace's key, for send and call.",
+            .set = setText(it.workspaceKey),
+            .environmentOnly = true },
+    };
+    const Usage usage {
+        .program = "fireflyhavenctl", .synopsis = "[OPTIONS] COMMAND [ARGUMENTS]", .description = describeCommands()
+    };
+    BOOST_LEAF_AUTO(parsed, parseOptions(argc, argv, usage, options));
+    if (parsed.end != ParseEnd::Run)
+        return 0;
+    if (parsed.arguments.empty())
+        return failure(ErrorCode::InvalidArgument, "expected a command; see --help");
+    const Arguments arguments(parsed.arguments.begin() + 1, parsed.arguments.end());
+    for (const Command& command : COMMANDS) {
+        if (parsed.arguments.front() != command.name)
+            continue;
+        if (arguments.size() < command.least || arguments.size() > command.most)
+            return failure(ErrorCode::InvalidArgument, std::string(command.name) + ": expected " + command.arguments);
+        return command.run(it, arguments);
+    }
+    return failure(ErrorCode::InvalidArgument, parsed.arguments.front() + ": no such command; see --help");
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    return handleFailure([&] { return run(argc, argv); },
+        [](const Failure& it) {
+            std::cerr << "fireflyhavenctl: " << it.message << (it.message.ends_with('\n') ? "" : "\n");
+            return it.code == ErrorCode::InvalidArgument ? 2 : 1;
+        });
+}
--- /dev/null
+++ b/apps/fireflyhavend.cpp
@@ -0,0 +1,194 @@
+#include "fireflyhaven/node/node.h"
+#include "fireflyhaven/settings/optionparser.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <iostream>
+
+using namespace fireflyhaven;
+
+namespace {
+
+// Settings as they are written, before they are checked together.
+struct WrittenSettings {
+    std::string host;
+    std::string dataCentre;
+    std::string region;
+    std::string ip;
+    std::uint16_t httpPort = 0;
+    std::string peerIp;
+    std::uint16_t peerPort = 0;
+    std::string platformIp;
+    std::uint16_t platformPort = 0;
+    std::string clusterKey;
+    std::string sessionKey;
+    std::string previousSessionKey;
+    std::string operatorKey;
+    std::string onStaleConfig = "refuse";
+    std::string logLevel = "info";
+    std::string logFormat = "text";
+    long staleConfigLimitMs = 10'000;
+    long sessionLifetimeMs = 3'600'000;
+    long snapshotEvery = 5000;
+    long maxBodyBytes = 1'048'576;
+    long maxConnections = 2048;
+    long idleTimeoutS = 60;
+    long shutdownLimitMs = 60'000;
+    bool naivePolicy = false;
+};
+
+std::vector<settings::Option> optionsFor(WrittenSettings& it)
+{
+    using namespace settings;
+    const auto secret = [](const std::string& name, const std::string& help, std::string& target) {
+        return Option { .name = name, .value = "TEXT", .help = help, .set = setText(target), .environmentOnly = true };
+    };
+    return {
+        { "host", "NAME", "Name of this host.", setText(it.host) },
+        { "data-centre", "NAME", "Data centre that the host stands in.", setText(it.dataCentre) },
+        { "region", "NAME", "Region of the data centre.", setText(it.region) },
+        { "listen", "IP:PORT", "HTTP address for callers and operators.", setAddress(it.ip, it.httpPort) },
+        { "peer", "IP:PORT", "Address for other hosts, TCP and UDP; the same IP as --listen.",
+            setAddress(it.peerIp, it.peerPort) },
+        { "platform", "IP:PORT", "The platform's log, host list and rating service.",
+            setAddress(it.platformIp, it.platformPort) },
+        { "stale-config-limit", "MS", "Age of the lists beyond which --on-stale-config decides.",
+            setInteger(it.staleConfigLimitMs, 1000, 3'600'000) },
+        { "on-stale-config", "refuse|serve", "What to do with new work while the lists may be old.",
+            setText(it.onStaleConfig) },
+        { "session-lifetime", "MS", "How long a session handle holds.",
+            setInteger(it.sessionLifetimeMs, 1000, 86'400'000L * 31) },
+        { "snapshot-every", "RECORDS", "Records between two snapshots in the log.",
+            setInteger(it.snapshotEvery, 10, 10'000'000) },
+        { "max-body", "BYTES", "Largest request body.", setInteger(it.maxBodyBytes, 1024, 64 * 1024 * 1024) },
+        { "max-connections", "N", "Most open connections of callers.", setInteger(it.maxConnections, 1, 100'000) },
+        { "idle-timeout", "S", "Seconds after which an idle connection is closed.",
+            setInteger(it.idleTimeoutS, 1, 3600) },
+        { "shutdown-limit", "MS", "Longest that a shutdown waits for running requests.",
+            setInteger(it.shutdownLimitMs, 0, 3'600'000) },
+        { "log-level", "LEVEL", "debug, info, warn or error.", setText(it.logLevel) },
+        { "log-format", "text|json", "Form of the log lines.", setText(it.logFormat) },
+        { "naive-policy", "", "Route by least load, without affinity and cascades (baseline for measurements).",
+            setFlag(it.naivePolicy) },
+        secret("cluster-key", "Key that all hosts share.", it.clusterKey),
+        secret("session-key", "Key of session handles, the same on all hosts.", it.sessionKey),
+        secret("session-key-previous", "Earlier key of session handles, during a rotation.", it.previousSessionKey),
+        secret("operator-key", "Key that operators' calls carry.", it.operatorKey),
+    };
+}
+
+Result<SecretKey> keyFrom(const std::string& variable, const std::string& text)
+{
+    if (text.size() < 16)
+        return failure(ErrorCode::InvalidArgument, variable + ": expected at least 16 characters\n");
+    return SecretKey::fromText(text);
+}
+
+Result<node::NodeSettings> check(const WrittenSettings& it)
+{
+    std::string faults;
+    const auto need = [&](bool given, const std::string& fault) {
+        if (!given)
+            faults += fault + "\n";
+    };
+    need(!it.host.empty(), "--host: expected a name");
+    need(!it.dataCentre.empty(), "--data-centre: expected a name");
+    need(!it.region.empty(), "--region: expected a name");
+    need(it.httpPort != 0, "--listen: expected IP:PORT");
+    need(it.peerPort != 0 && it.peerIp == it.ip, "--peer: expected IP:PORT with the IP of --listen");
+    need(it.platformPort != 0, "--platform: expected IP:PORT");
+    need(it.onStaleConfig == "refuse" || it.onStaleConfig == "serve", "--on-stale-config: expected refuse or serve");
+    need(it.logFormat == "text" || it.logFormat == "json", "--log-format: expected text or json");
+    need(it.operatorKey.size() >= 16, "FIREFLYHAVEN_OPERATOR_KEY: expected at least 16 characters");
+    if (!faults.empty())
+        return failure(ErrorCode::InvalidArgument, faults);
+    BOOST_LEAF_AUTO(clusterKey, keyFrom("FIREFLYHAVEN_CLUSTER_KEY", it.clusterKey));
+    BOOST_LEAF_AUTO(sessionKey, keyFrom("FIREFLYHAVEN_SESSION_KEY", it.sessionKey));
+    std::optional<SecretKey> previous;
+    if (!it.previousSessionKey.empty()) {
+        BOOST_LEAF_ASSIGN(previous, keyFrom("FIREFLYHAVEN_SESSION_KEY_PREVIOUS", it.previousSessionKey));
+    }
+    return node::NodeSettings { .host = HostId(it.host),
+        .dataCentre = DataCentreId(it.dataCentre),
+        .region = RegionId(it.region),
+        .ip = it.ip,
+        .httpPort = it.httpPort,
+        .peerPort = it.peerPort,
+        .platform = it.platformIp + ":" + std::to_string(it.platformPort),
+        .clusterKey = clusterKey,
+        .sessionKey = sessionKey,
+        .previousSessionKey = previous,
+        .operatorKeyDigest = digestHex(it.operatorKey),
+        .staleConfigLimit = Duration(it.staleConfigLimitMs),
+        .onStaleConfig = it.onStaleConfig == "serve" ? node::StalePolicy::Serve : node::StalePolicy::Refuse,
+        .sessionLifetime = Duration(it.sessionLifetimeMs),
+        .snapshotEvery = static_cast<std::uint64_t>(it.snapshotEvery),
+        .maxBodyBytes = static_cast<std::size_t>(it.maxBodyBytes),
+        .maxConnections = static_cast<unsigned>(it.maxConnections),
+        .idleTimeout = std::chrono::seconds(it.idleTimeoutS),
+        .shutdownLimit = Duration(it.shutdownLimitMs),
+        .naivePolicy = it.naivePolicy };
+}
+
+// Writes the message as a JSON string.
+class JsonMessage final : public spdlog::custom_flag_formatter {
+public:
+    void format(const spdlog::details::log_msg& message, const std::tm&, spdlog::memory_buf_t& out) override
+    {
+        const std::string text = nlohmann::json(std::string(message.payload.data(), message.payload.size()))
+                                     .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        out.append(text.data(), text.data() + text.size());
+    }
+    std::unique_ptr<custom_flag_formatter> clone() const override { return std::make_unique<JsonMessage>(); }
+};
+
+void setUpLog(const WrittenSettings& it)
+{
+    spdlog::set_level(spdlog::level::from_str(it.logLevel));
+    if (it.logFormat != "json")
+        return;
+    auto formatter = std::make_unique<spdlog::pattern_formatter>();
+    formatter->add_flag<JsonMessage>('J').set_pattern(
+        "{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\",\"message\":%J}");
+    spdlog::set_formatter(std::move(formatter));
+}
+
+Result<int> run(int argc, char** argv)
+{
+    WrittenSettings written;
+    const settings::Usage usage { .program = "fireflyhavend",
+        .synopsis = "--host=NAME --data-centre=NAME --region=NAME --listen=IP:PORT --peer=IP:PORT --platform=IP:PORT",
+        .description = "Entry host of fireflyhaven. Stops gracefully on SIGTERM and SIGINT." };
+    BOOST_LEAF_AUTO(parsed, settings::parseOptions(argc, argv, usage, optionsFor(written)));
+    if (parsed.end != settings::ParseEnd::Run)
+        return 0;
+    if (!parsed.arguments.empty())
+        return failure(ErrorCode::InvalidArgument, parsed.arguments.front() + ": expected options only\n");
+    BOOST_LEAF_AUTO(checked, check(written));
+    setUpLog(written);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const SystemClock clock;
+    BOOST_LEAF_AUTO(node, node::Node::start(std::move(checked), clock));
+    int signal = 0;
+    sigwait(&signals, &signal);
+    node->shutDown();
+    return 0;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    return handleFailure([&] { return run(argc, argv); },
+        [](const Failure& it) {
+            std::cerr << "fireflyhavend: " << it.message << (it.message.ends_with('\n') ? "" : "\n");
+            return it.code == ErrorCode::InvalidArgument ? 2 : 1;
+        });
+}
--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,12 @@
+# fireflyhaven_module(NAME SOURCES ... LINKS ... TESTS ...)
+# Adds a static library fireflyhaven_NAME and, where TESTS are given, a Criterion test program for it.
+function(fireflyhaven_module NAME)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINKS;TESTS" ${ARGN})
+    add_library(fireflyhaven_${NAME} STATIC ${ARG_SOURCES})
+    target_link_libraries(fireflyhaven_${NAME} PUBLIC fireflyhaven_options Threads::Threads ${ARG_LINKS})
+    if(ARG_TESTS)
+        add_executable(test_${NAME} ${ARG_TESTS})
+        target_link_libraries(test_${NAME} PRIVATE fireflyhaven_${NAME} PkgConfig::CRITERION)
+        add_test(NAME ${NAME} COMMAND test_${NAME})
+    endif()
+endfunction()
--- /dev/null
+++ b/include/fireflyhaven/common/types/ids.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "fireflyhaven/common/types/strongid.h"
+
+namespace fireflyhaven {
+
+using WorkspaceId = StrongId<struct WorkspaceTag>;
+using PlanName = StrongId<struct PlanTag>;
+using TaskName = StrongId<struct TaskTag>;
+using UpstreamId = StrongId<struct UpstreamTag>;
+using ServiceName = StrongId<struct ServiceTag>;
+using DataCentreId = StrongId<struct DataCentreTag>;
+using RegionId = StrongId<struct RegionTag>;
+using HostId = StrongId<struct HostTag>;
+using RequestId = StrongId<struct RequestTag>;
+using SessionId = StrongId<struct SessionTag>;
+using IdempotencyKey = StrongId<struct IdempotencyTag>;
+
+// Position of a record in the platform's log, counted from 1; 0 stands before the first record.
+using Offset = StrongNumber<struct OffsetTag>;
+// Identifies one life of a host: the offset of its join record.
+using Incarnation = Offset;
+// Random number that names one process as a writer of log records.
+using WriterId = StrongNumber<struct WriterTag>;
+
+// A model at one version, written "model@version".
+struct ModelVersion {
+    std::string model;
+    std::string version;
+
+    std::string text() const { return model + "@" + version; }
+    // Returns an empty pair where the text has no "@" or an empty part.
+    static ModelVersion parse(const std::string& text)
+    {
+        const auto at = text.find('@');
+        if (at == std::string::npos || at == 0 || at + 1 == text.size())
+            return {};
+        return { .model = text.substr(0, at), .version = text.substr(at + 1) };
+    }
+    bool empty() const { return model.empty(); }
+
+    friend auto operator<=>(const ModelVersion&, const ModelVersion&) = default;
+    template <typename H> friend H AbslHashValue(H h, const ModelVersion& it)
+    {
+        return H::combine(std::move(h), it.model, it.version);
+    }
+    template <typename Archive> void serialize(Archive& archive) { archive(model, version); }
+};
+
+// Money in millionths of the operator's currency unit.
+struct Cost {
+    std::int64_t micros = 0;
+
+    friend auto operator<=>(const Cost&, const Cost&) = default;
+    Cost& operator+=(Cost other)
+    {
+        micros += other.micros;
+        return *this;
+    }
+    template <typename Archive> void serialize(Archive& archive) { archive(micros); }
+};
+
+}
--- /dev/null
+++ b/include/fireflyhaven/dispatch/retrybudget.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "fireflyhaven/common/clock.h"
+
+#include <algorithm>
+#include <random>
+
+namespace fireflyhaven::dispatch {
+
+struct RetryOptions {
+    // Retries per request, on average.
+    double ratio = 0.1;
+    // Retries that may be saved up.
+    double burst = 10;
+    int maxAttempts = 3;
+    Duration firstBackoff { 20 };
+    Duration longestBackoff { 1000 };
+};
+
+// Bounds the retries of a host or of an upstream to a share of its requests, so that failing upstreams do not turn into
+// a storm of retries.
+class RetryBudget {
+public:
+    explicit RetryBudget(RetryOptions options);
+
+    void onRequest();
+    // Takes a retry from the budget where one is left.
+    bool take(int attemptsMade);
+
+private:
+    RetryOptions m_options;
+    double m_tokens;
+};
+
+// Exponential backoff with full jitter.
+template <typename Random> Duration backoffDelay(const RetryOptions& options, int attemptsMade, Random& random)
+{
+    const Duration grown = options.firstBackoff * (1LL << std::min(attemptsMade, 16));
+    const Duration longest = std::min(options.longestBackoff, grown);
+    std::uniform_int_distribution<Duration::rep> jitter(0, longest.count());
+    return Duration(jitter(random));
+}
+
+// How an attempt at a request ended without an answer.
+enum class AttemptEnd {
+    // The upstream has certainly not started it.
+    NotRun,
+    // It may be running or may have run.
+    Unknown,
+    // It was started and has been cancelled, and the cancel was confirmed.
+    Cancelled,
+};
+
+// Whether another attempt may follow: never for an attempt of unknown outcome of a call that may not be repeated.
+bool mayAttemptAgain(AttemptEnd end, bool repeatable);
+
+}
--- /dev/null
+++ b/src/membership/internal/membershipfold.cpp
@@ -0,0 +1,147 @@
+#include "fireflyhaven/membership/membershipfold.h"
+
+#include <algorithm>
+
+namespace fireflyhaven::membership {
+
+bool isMajority(const std::set<HostId>& hosts, const std::set<HostId>& voters)
+{
+    const auto n = std::count_if(voters.begin(), voters.end(), [&](const HostId& it) { return hosts.count(it) > 0; });
+    return static_cast<std::size_t>(n) * 2 > voters.size();
+}
+
+bool isJointMajority(const std::set<HostId>& hosts, const RegionVoters& voters)
+{
+    return isMajority(hosts, voters.current) && (voters.previous.empty() || isMajority(hosts, voters.previous));
+}
+
+bool MembershipFold::apply(const JoinEntry& entry, Offset offset)
+{
+    // The address belongs to the new process, so an earlier life of the host can no longer be acknowledged there.
+    if (const Member* earlier = find(entry.host))
+        removeGone({ entry.host, earlier->incarnation }, offset);
+    RegionVoters& voters = m_voters[entry.region];
+    const bool first = voters.current.empty();
+    m_members[entry.host] = { .id = entry.host,
+        .incarnation = offset,
+        .dataCentre = entry.dataCentre,
+        .region = entry.region,
+        .address = entry.address,
+        .writer = entry.writer,
+        .voter = first };
+    if (first)
+        voters = { .current = { entry.host }, .previous = { entry.host }, .changedAt = offset };
+    return true;
+}
+
+bool MembershipFold::apply(const AdmitEntry& entry, Offset offset)
+{
+    if (entry.learners.empty() || !hasWitnesses(entry.region, entry.witnesses))
+        return false;
+    std::vector<Member*> admitted;
+    for (const HostLife& it : entry.learners) {
+        const auto member = m_members.find(it.host);
+        if (!isLive(it) || member->second.voter || member->second.region != entry.region)
+            return false;
+        admitted.push_back(&member->second);
+    }
+    RegionVoters& voters = m_voters[entry.region];
+    voters.previous = voters.current;
+    for (Member* it : admitted) {
+        it->voter = true;
+        voters.current.insert(it->id);
+    }
+    voters.changedAt = offset;
+    return true;
+}
+
+bool MembershipFold::apply(const LeaveEntry& entry, Offset offset)
+{
+    if (!isLive(entry.life))
+        return false;
+    removeGone(entry.life, offset);
+    return true;
+}
+
+bool MembershipFold::apply(const EvictEntry& entry, Offset offset)
+{
+    const auto wrongRegion = [&](const HostLife& it) { return !isLive(it) || find(it.host)->region != entry.region; };
+    if (entry.lives.empty() || std::any_of(entry.lives.begin(), entry.lives.end(), wrongRegion))
+        return false;
+    if (entry.evidence == EvictEvidence::HostList) {
+        for (const HostLife& it : entry.lives)
+            removeGone(it, offset);
+        return true;
+    }
+    RegionVoters& voters = m_voters[entry.region];
+    const std::set<HostId> endorsers(entry.endorsers.begin(), entry.endorsers.end());
+    if (!isMajority(endorsers, voters.current) || !hasWitnesses(entry.region, entry.witnesses))
+        return false;
+    voters.previous = voters.current;
+    for (const HostLife& it : entry.lives) {
+        voters.current.erase(it.host);
+        m_members.erase(it.host);
+    }
+    voters.changedAt = offset;
+    return true;
+}
+
+const Member* MembershipFold::find(const HostId& id) const
+{
+    const auto it = m_members.find(id);
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
+const RegionVoters& MembershipFold::voters(const RegionId& region) const
+{
+    static const RegionVoters NONE;
+    const auto it = m_voters.find(region);
+    return it == m_voters.end() ? NONE : it->second;
+}
+
+bool MembershipFold::isLive(const HostLife& life) const
+{
+    const Member* it = find(life.host);
+    return it && it->incarnation == life.incarnation;
+}
+
+bool MembershipFold::hasWitnesses(const RegionId& region, const std::vector<HostId>& witnesses) const
+{
+    return isJointMajority(std::set<HostId>(witnesses.begin(), witnesses.end()), voters(region));
+}
+
+// A host that is certainly gone acknowledges nobody, so it leaves the previous voters too.
+void MembershipFold::removeGone(const HostLife& life, Offset offset)
+{
+    const auto it = m_members.find(life.host);
+    RegionVoters& voters = m_voters[it->second.region];
+    const bool wasVoter = voters.current.erase(life.host) + voters.previous.erase(life.host) > 0;
+    if (wasVoter)
+        voters.changedAt = offset;
+    m_members.erase(it);
+}
+
+nlohmann::json MembershipFold::snapshot() const
+{
+    nlohmann::json members = nlohmann::json::array();
+    for (const auto& [id, member] : m_members)
+        members.push_back(member);
+    nlohmann::json regions = nlohmann::json::object();
+    for (const auto& [region, voters] : m_voters)
+        regions[region.value()] = voters;
+    return { { "members", members }, { "voters", regions } };
+}
+
+MembershipFold MembershipFold::fromSnapshot(const nlohmann::json& document)
+{
+    MembershipFold fold;
+    for (const nlohmann::json& node : document.at("members")) {
+        Member member = node.get<Member>();
+        fold.m_members[member.id] = member;
+    }
+    for (const auto& [region, node] : document.at("voters").items())
+        fold.m_voters[RegionId(region)] = node.get<RegionVoters>();
+    return fold;
+}
+
+}
--- /dev/null
+++ b/src/node/internal/answerrun.cpp
@@ -0,0 +1,173 @@
+#include "answerrun.h"
+
+#include <algorithm>
+
+namespace fireflyhaven::node {
+
+namespace {
+
+using dispatch::RunEvent;
+using dispatch::RunEventKind;
+
+constexpr std::size_t CHARACTERS_PER_TOKEN = 4;
+constexpr std::int64_t TOKENS_PER_PRICE = 1000;
+
+}
+
+AnswerRun::AnswerRun(RunDeps deps, dispatch::RunRequest request, AnswerRunOptions options)
+    : m_deps(deps)
+    , m_request(std::move(request))
+    , m_options(std::move(options))
+    , m_assembler(m_request.request)
+    , m_begunAt(deps.clock.now())
+{
+    absl::MutexLock lock(&m_deps.budgetMutex);
+    m_deps.budget.onRequest();
+}
+
+bool AnswerRun::openAttempt()
+{
+    const std::shared_ptr<const config::Lists> lists = m_deps.replica.lists();
+    std::vector<routing::UpstreamOption> options;
+    for (const UpstreamId& id : m_options.upstreams) {
+        const auto* item = config::findItem(lists->upstreams, id);
+        const bool usable
+            = item && item->value.inService && lists->dataCentres.at(item->value.dataCentre).value.inService;
+        if (!usable)
+            continue;
+        options.push_back(m_deps.board.optionFor(id, item->value.dataCentre));
+        options.back().avoided = options.back().avoided || m_tried.count(id) > 0;
+    }
+    const std::size_t picked = routing::pickUpstream(options, m_options.prefixHash, m_options.pick);
+    if (picked == options.size()) {
+        m_last
+            = { .kind = RunEventKind::Refused, .code = "no_upstream", .message = "no upstream is in service for it" };
+        return false;
+    }
+    const TimePoint now = m_deps.clock.now();
+    m_request.upstream = options[picked].upstream;
+    m_request.attempt = m_assembler.beginAttempt().attempt;
+    m_request.firstIndex = m_assembler.nextIndex();
+    m_request.startWithinMs = std::max<std::int64_t>(1, (m_options.startBy - now).count());
+    m_request.answerWithinMs = std::max<std::int64_t>(1, (m_options.answerBy - now).count());
+    m_tried.insert(m_request.upstream);
+    m_piecesInAttempt = 0;
+    m_sent = false;
+    ++m_attempts;
+    m_stream = m_deps.router.open(m_request);
+    return true;
+}
+
+std::string AnswerRun::next()
+{
+    while (m_end == End::Open) {
+        if (!m_stream && !openAttempt()) {
+            m_end = m_mayHaveRun ? End::Unknown : End::NotRun;
+            break;
+        }
+        const Duration wait = std::max(Duration(1), m_options.answerBy - m_deps.clock.now());
+        if (std::optional<std::string> text = handle(m_stream->next(wait)))
+            return std::move(*text);
+    }
+    return {};
+}
+
+void AnswerRun::cancel()
+{
+    m_cancelled = true;
+    if (m_stream)
+        m_stream->cancel();
+}
+
+std::optional<std::string> AnswerRun::handle(RunEvent event)
+{
+    if (event.kind == RunEventKind::Started) {
+        m_sent = true;
+        return std::nullopt;
+    }
+    if (event.kind != RunEventKind::Text) {
+        finishAttempt(std::move(event));
+        return std::nullopt;
+    }
+    const dispatch::AnswerPiece piece { .attempt = { RequestId(event.pieceRequest), event.pieceAttempt },
+        .index = event.index,
+        .text = std::move(event.text) };
+    std::optional<std::string> text = m_assembler.accept(piece);
+    if (!text) {
+        m_deps.metrics.count("answer_pieces_dropped");
+        return std::nullopt;
+    }
+    ++m_piecesInAttempt;
+    if (!m_firstToken) {
+        m_firstToken = m_deps.clock.now() - m_begunAt;
+        m_deps.board.onFirstToken(m_request.upstream, *m_firstToken);
+    }
+    return text;
+}
+
+bool AnswerRun::isWholeAnswer(const RunEvent& event) const
+{
+    if (m_request.version.empty())
+        return true;
+    const dispatch::AttemptId attempt { RequestId(event.pieceRequest), event.pieceAttempt };
+    return attempt == dispatch::AttemptId { m_request.request, m_request.attempt }
+    && event.text == m_request.version.text() && event.pieces == m_assembler.nextIndex() && !m_assembler.hasGap();
+}
+
+void AnswerRun::finishAttempt(RunEvent event)
+{
+    m_stream.reset();
+    if (event.kind == RunEventKind::Done && !isWholeAnswer(event)) {
+        m_deps.metrics.count("answers_mismatched");
+        event = {
+            .kind = RunEventKind::Failed, .code = "answer_mismatch", .message = "the answer was not for this request"
+        };
+    }
+    const bool ran = m_sent || event.kind != RunEventKind::Refused;
+    if (event.kind == RunEventKind::Done)
+        addCost(event.inputTokens, event.outputTokens);
+    else if (ran && !m_request.version.empty())
+        addCost(m_request.prompt.size() / CHARACTERS_PER_TOKEN, m_piecesInAttempt);
+    m_mayHaveRun = m_mayHaveRun || ran;
+    m_last = std::move(event);
+    if (m_last.kind == RunEventKind::Done) {
+        m_deps.board.onSuccess(m_request.upstream);
+        m_end = End::Done;
+        return;
+    }
+    const bool notRun = m_last.kind == RunEventKind::Refused;
+    m_deps.board.onFailure(m_request.upstream);
+    if (mayRetry(notRun ? dispatch::AttemptEnd::NotRun : dispatch::AttemptEnd::Unknown)) {
+        m_deps.metrics.count("retries");
+        return;
+    }
+    // An earlier attempt of unknown outcome keeps the whole from being called "not run".
+    m_end = m_mayHaveRun ? End::Unknown : End::NotRun;
+}
+
+bool AnswerRun::mayRetry(dispatch::AttemptEnd end)
+{
+    if (m_cancelled || !dispatch::mayAttemptAgain(end, m_options.repeatable) || m_deps.clock.now() >= m_options.startBy)
+        return false;
+    const bool anyLeft = std::any_of(m_options.upstreams.begin(), m_options.upstreams.end(),
+        [&](const UpstreamId& it) { return m_tried.count(it) == 0; });
+    if (!anyLeft && end == dispatch::AttemptEnd::NotRun)
+        return false;
+    absl::MutexLock lock(&m_deps.budgetMutex);
+    return m_deps.budget.take(m_attempts);
+}
+
+void AnswerRun::addCost(std::uint64_t inputTokens, std::uint64_t outputTokens)
+{
+    const auto price = [](std::uint64_t tokens, Cost perThousand) {
+        return static_cast<std::int64_t>(tokens) * perThousand.micros / TOKENS_PER_PRICE;
+    };
+    m_costs.push_back({ .upstream = m_request.upstream,
+        .version = m_request.version,
+        .inputTokens = inputTokens,
+        .outputTokens = outputTokens,
+        .cost = { .micros
+            = price(inputTokens, m_options.prices.inputPrice) + price(outputTokens, m_options.prices.outputPrice) } });
+}
+
+}
--- /dev/null
+++ b/src/node/internal/billingservice.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "clusterreplica.h"
+#include "fireflyhaven/billing/billholder.h"
+#include "fireflyhaven/common/workerpool.h"
+#include "fireflyhaven/peer/peerclient.h"
+
+namespace fireflyhaven::node {
+
+// Brings bills into the log and, until they are there, copies at peers.
+class BillingService {
+public:
+    BillingService(const NodeSettings& settings, const IClock& clock, Metrics& metrics, ClusterReplica& replica,
+        peer::PeerClient& peers);
+    ~BillingService();
+    BillingService(const BillingService&) = delete;
+    BillingService& operator=(const BillingService&) = delete;
+
+    void start();
+    // False where too many bills wait for the log; no new request is taken then.
+    bool accepting() const;
+    // Returns once the bill is in the log or copied, or the patience for both has run out.
+    void settle(billing::Bill bill);
+    void storeCopy(const HostId& holder, const billing::Bill& bill);
+    void releaseCopies(const HostId& holder, const std::vector<std::string>& keys);
+    void onMemberGone(const HostId& host);
+    // Waits until no bill of this host waits for the log.
+    bool flush(Duration wait) const;
+    nlohmann::json dump() const;
+
+private:
+    void appendLoop();
+    void copyTo(const HostId& host, const billing::Bill& bill);
+    void releaseAtPeers();
+    std::optional<membership::HostAddress> addressOf(const HostId& host) const;
+    std::vector<billing::PeerHost> livePeers() const;
+
+    const NodeSettings& m_settings;
+    const IClock& m_clock;
+    Metrics& m_metrics;
+    ClusterReplica& m_replica;
+    peer::PeerClient& m_peers;
+    platform::HttpLogService m_log;
+    mutable absl::Mutex m_mutex;
+    billing::BillHolder m_holder ABSL_GUARDED_BY(m_mutex);
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+    WorkerPool m_copiers { 64 };
+    std::thread m_thread;
+};
+
+// Reads the bills stream and counts the first bill of each request id; returns totals for each workspace.
+Result<nlohmann::json> summarizeBills(const std::string& platform);
+
+}
--- /dev/null
+++ b/src/node/internal/chatservice.cpp
@@ -0,0 +1,160 @@
+#include "chatservice.h"
+
+#include "chatcall.h"
+#include "fireflyhaven/common/json.h"
+#include "fireflyhaven/config/documentreader.h"
+
+namespace fireflyhaven::node {
+
+namespace {
+
+constexpr int STATUS_BAD_REQUEST = 400;
+constexpr int TIMING_HISTORY = 8;
+constexpr std::size_t LONGEST_NAME = 128;
+constexpr std::size_t LONGEST_CONTENT = 1024 * 1024;
+constexpr std::int64_t MOST_TOKENS = 32'768;
+constexpr std::int64_t USUAL_TOKENS = 256;
+
+// Reads the body of a chat request; returns what is wrong with it, or an empty text.
+std::string parseChat(const http::Request& http, ChatRequest& chat)
+{
+    const std::optional<nlohmann::json> document = parseJson(http.body);
+    if (!document)
+        return "the body is not JSON";
+    std::vector<config::Fault> faults;
+    config::DocumentReader reader(*document, "$", faults);
+    chat.model = reader.text("model", LONGEST_NAME);
+    chat.stream = reader.optionalFlag("stream", false);
+    chat.maxTokens = static_cast<std::uint32_t>(reader.optionalInteger("max_tokens", 1, MOST_TOKENS, USUAL_TOKENS));
+    std::size_t n = 0;
+    for (const nlohmann::json& node : reader.array("messages")) {
+        config::DocumentReader message(node, "$.messages[" + std::to_string(n++) + "]", faults);
+        const std::string role = message.text("role", LONGEST_NAME);
+        chat.prompt += role + ": " + message.text("content", LONGEST_CONTENT) + "\n";
+    }
+    if (n == 0)
+        reader.fault("messages", "at least one message");
+    const std::string& task = http.header("x-task");
+    chat.task = TaskName(task.empty() ? "chat" : task);
+    return faults.empty() ? std::string() : faults.front().path + ": expected " + faults.front().expected;
+}
+
+nlohmann::json chunk(const ChatCall& call, const std::string& text, bool last)
+{
+    nlohmann::json choice { { "index", 0 }, { "delta", nlohmann::json::object() }, { "finish_reason", nullptr } };
+    if (last)
+        choice["finish_reason"] = "stop";
+    else
+        choice["delta"]["content"] = text;
+    return { { "id", call.context().request }, { "object", "chat.completion.chunk" },
+        { "model", call.version().text() }, { "choices", nlohmann::json::array({ choice }) } };
+}
+
+std::string eventLine(const nlohmann::json& body)
+{
+    return "data: " + body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n\n";
+}
+
+// Streams the answer as server-sent events. "[DONE]" marks a whole answer; an event with "error" marks a part.
+class ChatStream final : public http::IBodyStream {
+public:
+    explicit ChatStream(std::unique_ptr<ChatCall> call)
+        : m_call(std::move(call))
+    {
+    }
+
+    std::string next() override
+    {
+        if (m_ended)
+            return {};
+        const std::string text = m_call->next();
+        if (!text.empty())
+            return eventLine(chunk(*m_call, text, false));
+        m_ended = true;
+        if (const std::optional<ApiError> error = m_call->finish())
+            return eventLine({ { "error", errorBody(*error, m_call->context().request.value()) } });
+        return eventLine(chunk(*m_call, {}, true)) + "data: [DONE]\n\n";
+    }
+
+    void cancel() override
+    {
+        if (std::exchange(m_ended, true))
+            return;
+        m_call->cancel();
+        // What has run is billed although nobody reads it.
+        while (!m_call->next().empty()) { }
+        m_call->finish();
+    }
+
+private:
+    std::unique_ptr<ChatCall> m_call;
+    bool m_ended = false;
+};
+
+nlohmann::json wholeAnswer(const ChatCall& call, const std::string& text)
+{
+    const nlohmann::json message { { "role", "assistant" }, { "content", text } };
+    const nlohmann::json choice { { "index", 0 }, { "message", message }, { "finish_reason", "stop" } };
+    return { { "id", call.context().request }, { "object", "chat.completion" }, { "model", call.version().text() },
+        { "choices", nlohmann::json::array({ choice }) },
+        { "usage", { { "prompt_tokens", call.inputTokens() }, { "completion_tokens", call.outputTokens() } } } };
+}
+
+}
+
+ChatService::ChatService(Gatekeeper& gatekeeper, routing::SessionSigner signer)
+    : m_gatekeeper(gatekeeper)
+    , m_signer(std::move(signer))
+{
+}
+
+ChatService::Timing ChatService::timingOf(const ModelVersion& version) const
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto it = m_timings.find(version);
+    return it == m_timings.end() ? Timing {} : it->second;
+}
+
+void ChatService::learnTiming(const ModelVersion& version, Duration firstToken, Duration total)
+{
+    absl::MutexLock lock(&m_mutex);
+    Timing& timing = m_timings[version];
+    timing.firstToken = (timing.firstToken * (TIMING_HISTORY - 1) + firstToken) / TIMING_HISTORY;
+    timing.total = (timing.total * (TIMING_HISTORY - 1) + total) / TIMING_HISTORY;
+}
+
+http::Response ChatService::handle(const http::Request& request)
+{
+    const RequestId id = requestIdOf(request);
+    ChatRequest chat;
+    const std::string fault = parseChat(request, chat);
+    if (!fault.empty())
+        return errorResponse({ .status = STATUS_BAD_REQUEST, .code = "bad_request", .message = fault }, id.value());
+    std::variant<CallContext, ApiError> entered = m_gatekeeper.enter(request, id);
+    if (const auto* error = std::get_if<ApiError>(&entered))
+        return errorResponse(*error, id.value());
+    const bool stream = chat.stream;
+    auto call = std::make_unique<ChatCall>(*this, std::get<CallContext>(std::move(entered)), std::move(chat));
+    if (const std::optional<ApiError> error = call->choose(request.header("x-session")))
+        return errorResponse(*error, id.value());
+    if (const std::optional<ApiError> error = call->begin())
+        return errorResponse(*error, id.value());
+    http::Headers headers { { "X-Request-Id", id.value() }, { "X-Model-Version", call->version().text() },
+        { "X-Session", call->sessionHandle() } };
+    if (stream) {
+        headers["Content-Type"] = "text/event-stream";
+        return {
+            .status = 200, .headers = headers, .body = {}, .stream = std::make_shared<ChatStream>(std::move(call))
+        };
+    }
+    std::string text;
+    for (std::string piece = call->next(); !piece.empty(); piece = call->next())
+        text += piece;
+    if (const std::optional<ApiError> error = call->finish())
+        return errorResponse(*error, id.value());
+    http::Response response = jsonResponse(200, wholeAnswer(*call, text));
+    response.headers.insert(headers.begin(), headers.end());
+    return response;
+}
+
+}
--- /dev/null
+++ b/src/node/internal/clusterreplica.cpp
@@ -0,0 +1,496 @@
+#include "clusterreplica.h"
+
+#include "fireflyhaven/common/hash.h"
+#include "fireflyhaven/platform/ratingservice.h"
+
+#include <spdlog/spdlog.h>
+
+namespace fireflyhaven::node {
+
+namespace {
+
+constexpr std::size_t READ_BATCH = 2000;
+constexpr std::uint64_t LARGEST_READ = 10'000;
+constexpr Duration READ_WAIT { 1000 };
+constexpr Duration RETRY_PAUSE { 200 };
+constexpr Duration WRITE_PAUSE { 2 };
+constexpr Duration HOST_LIST_INTERVAL { 2000 };
+constexpr int RECEIVE_WAIT_MS = 50;
+constexpr Duration TICK { 100 };
+constexpr std::size_t RECENT_RECORDS = 10'000;
+constexpr Duration SNAPSHOT_STAGGER { 5000 };
+
+cluster::WriterOptions writerOptions(WriterId writer) { return { .writer = writer, .seed = writer.value() }; }
+
+std::map<HostId, Incarnation> livesOf(const cluster::ClusterFold& fold)
+{
+    std::map<HostId, Incarnation> lives;
+    for (const auto& [id, member] : fold.membership().members())
+        lives[id] = member.incarnation;
+    return lives;
+}
+
+}
+
+ClusterReplica::ClusterReplica(const NodeSettings& settings, const IClock& clock, Metrics& metrics,
+    std::unique_ptr<peer::HeartbeatSocket> socket, ReplicaHooks hooks)
+    : m_settings(settings)
+    , m_clock(clock)
+    , m_metrics(metrics)
+    , m_hooks(std::move(hooks))
+    , m_socket(std::move(socket))
+    , m_readLog(settings.platform, platform::CONTROL_STREAM)
+    , m_writeLog(settings.platform, platform::CONTROL_STREAM)
+    , m_state { .fold = {},
+        .tracker = membership::MembershipTracker({ .self = settings.host, .region = settings.region }),
+        .owners = ownership::OwnerTable() }
+    , m_writer(writerOptions(WriterId(randomNumber())))
+    , m_writerId(m_writer.writer())
+    , m_lists(std::make_shared<config::Lists>())
+{
+}
+
+ClusterReplica::~ClusterReplica() { stop(); }
+
+void ClusterReplica::stop()
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_stopping = true;
+    }
+    for (std::thread& it : m_threads)
+        it.join();
+    m_threads.clear();
+}
+
+void ClusterReplica::start()
+{
+    m_threads.emplace_back([this] { followLoop(); });
+    m_threads.emplace_back([this] { writeLoop(); });
+    m_threads.emplace_back([this] { membershipLoop(); });
+    m_threads.emplace_back([this] { hostListLoop(); });
+}
+
+std::shared_ptr<const config::Lists> ClusterReplica::lists() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_lists;
+}
+
+bool ClusterReplica::sleepOrStop(Duration time) const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_mutex.AwaitWithTimeout(absl::Condition(&m_stopping), absl::Milliseconds(time.count()));
+}
+
+void ClusterReplica::followLoop()
+{
+    while (!sleepOrStop(Duration(0))) {
+        if (bootstrap())
+            break;
+        sleepOrStop(RETRY_PAUSE);
+    }
+    while (!sleepOrStop(Duration(0)))
+        readOnce();
+}
+
+// Starts from the newest snapshot in the log, or from its first record.
+bool ClusterReplica::bootstrap()
+{
+    return handleFailure(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(page, m_readLog.read(Offset(1), 1, Duration(0)));
+            m_logReachable = true;
+            if (findSnapshot(page.first, page.next))
+                return true;
+            if (page.first > Offset(1))
+                spdlog::error("log starts at {} and holds no snapshot", page.first.value());
+            return page.first == Offset(1);
+        },
+        [&](const Failure&) { return false; });
+}
+
+// Searches backwards from the end of the log, in windows that grow.
+bool ClusterReplica::findSnapshot(Offset first, Offset next)
+{
+    std::uint64_t window = READ_BATCH;
+    std::uint64_t end = next.value();
+    while (end > first.value()) {
+        const std::uint64_t from = end > first.value() + window ? end - window : first.value();
+        const bool found = handleFailure(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_AUTO(page, m_readLog.read(Offset(from), end - from, Duration(0)));
+                for (auto it = page.items.rbegin(); it != page.items.rend(); ++it) {
+                    const std::optional<cluster::Record> record = cluster::decodeRecord(it->text);
+                    if (!record || record->entries.empty())
+                        continue;
+                    const auto* snapshot = std::get_if<cluster::SnapshotEntry>(&record->entries.back());
+                    if (!snapshot || snapshot->covers.next() < first)
+                        continue;
+                    absl::MutexLock lock(&m_mutex);
+                    const auto before = livesOf(m_state.fold);
+                    m_state.fold = cluster::ClusterFold::fromSnapshot(*snapshot);
+                    m_state.owners.reset(
+                        m_state.fold.config().lists(), m_state.fold.membership(), m_state.fold.governingOffset());
+                    afterGoverning(before);
+                    spdlog::info("started from the snapshot that covers {}", snapshot->covers.value());
+                    return true;
+                }
+                return false;
+            },
+            [](const Failure&) { return false; });
+        if (found)
+            return true;
+        end = from;
+        window = std::min(window * 2, LARGEST_READ);
+    }
+    return false;
+}
+
+void ClusterReplica::readOnce()
+{
+    const Offset from = read([](const ReplicaState& it) { return it.fold.offset().next(); });
+    const bool reached = handleFailure(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(page, m_readLog.read(from, READ_BATCH, READ_WAIT));
+            if (page.first > from) {
+                spdlog::warn("the log keeps records from {} only; starting from a snapshot", page.first.value());
+                if (!bootstrap())
+                    sleepOrStop(RETRY_PAUSE);
+                return true;
+            }
+            absl::MutexLock lock(&m_mutex);
+            for (const platform::LogItem& it : page.items) {
+                if (it.offset == m_state.fold.offset().next())
+                    applyItem(it);
+            }
+            m_freshAt = m_clock.now();
+            if (!m_caughtUp && m_state.fold.offset().next() >= page.next) {
+                m_caughtUp = true;
+                m_state.owners.reset(
+                    m_state.fold.config().lists(), m_state.fold.membership(), m_state.fold.governingOffset());
+                afterGoverning(livesOf(m_state.fold));
+            }
+            return true;
+        },
+        [&](const Failure&) { return false; });
+    if (m_logReachable.exchange(reached) != reached)
+        spdlog::warn("log {}", reached ? "reachable again" : "unreachable");
+    if (reached)
+        return;
+    m_metrics.count("log_read_failures");
+    catchUpFromPeers();
+    sleepOrStop(RETRY_PAUSE);
+}
+
+void ClusterReplica::catchUpFromPeers()
+{
+    std::vector<membership::HostAddress> addresses;
+    Offset from;
+    {
+        absl::MutexLock lock(&m_mutex);
+        from = m_state.fold.offset().next();
+        for (const HostId& id : m_state.tracker.hostsAhead(m_clock.now())) {
+            if (const membership::Member* member = m_state.fold.membership().find(id))
+                addresses.push_back(member->address);
+        }
+    }
+    for (const membership::HostAddress& address : addresses) {
+        const std::vector<platform::LogItem> items = m_hooks.fetchFromPeer(address, from);
+        if (items.empty())
+            continue;
+        m_metrics.count("records_fetched_from_peers", items.size());
+        absl::MutexLock lock(&m_mutex);
+        for (const platform::LogItem& it : items) {
+            if (it.offset == m_state.fold.offset().next())
+                applyItem(it);
+        }
+        return;
+    }
+}
+
+void ClusterReplica::applyItem(const platform::LogItem& item)
+{
+    const Offset governing = m_state.fold.governingOffset();
+    const auto before = livesOf(m_state.fold);
+    m_recent.push_back(item);
+    if (m_recent.size() > RECENT_RECORDS)
+        m_recent.pop_front();
+    const std::optional<cluster::Record> record = cluster::decodeRecord(item.text);
+    if (!record) {
+        m_state.fold.skip(item.offset);
+        m_metrics.count("log_records_unreadable");
+        return;
+    }
+    const cluster::RecordVerdict verdict = m_state.fold.apply(*record, item.offset);
+    m_metrics.count("log_records_folded");
+    for (const cluster::TicketVerdict& it : m_writer.onFolded(record->id, verdict, item.offset))
+        settle(it);
+    if (m_state.fold.governingOffset() != governing)
+        afterGoverning(before);
+    else
+        m_state.tracker.onFold(
+            m_state.fold.membership(), m_state.fold.offset(), m_state.fold.governingOffset(), m_clock.now());
+}
+
+void ClusterReplica::afterGoverning(const std::map<HostId, Incarnation>& before)
+{
+    const cluster::ClusterFold& fold = m_state.fold;
+    if (m_caughtUp)
+        m_state.owners.update(fold.config().lists(), fold.membership(), fold.governingOffset());
+    m_lists = std::make_shared<config::Lists>(fold.config().lists());
+    m_state.tracker.onFold(fold.membership(), fold.offset(), fold.governingOffset(), m_clock.now());
+    m_hooks.onGoverning(m_state);
+    for (const auto& [id, incarnation] : before) {
+        const membership::Member* member = fold.membership().find(id);
+        if (member && member->incarnation == incarnation)
+            continue;
+        spdlog::info("member {} of {} is gone", id.value(), incarnation.value());
+        m_hooks.onMemberGone(id);
+    }
+    for (const auto& [id, member] : fold.membership().members()) {
+        const auto it = before.find(id);
+        if (it == before.end() || it->second != member.incarnation)
+            spdlog::info("member {} of {} has joined", id.value(), member.incarnation.value());
+    }
+}
+
+void ClusterReplica::settle(const cluster::TicketVerdict& verdict)
+{
+    if (m_proposal == verdict.ticket)
+        m_proposal.reset();
+    const auto it = m_verdicts.find(verdict.ticket);
+    if (it != m_verdicts.end())
+        it->second = verdict;
+    const auto late = m_followUps.extract(verdict.ticket);
+    if (late.empty())
+        return;
+    if (std::optional<cluster::Entry> entry = late.mapped()(verdict))
+        m_writer.submit(std::move(*entry));
+}
+
+Result<cluster::TicketVerdict> ClusterReplica::write(cluster::Entry entry, Duration wait, LateFollowUp followUp)
+{
+    absl::MutexLock lock(&m_mutex);
+    const std::optional<cluster::Ticket> ticket = m_writer.submit(std::move(entry));
+    if (!ticket)
+        return failure(ErrorCode::Unavailable, "too many records wait for the log");
+    std::optional<cluster::TicketVerdict>& verdict = m_verdicts[*ticket];
+    const auto settled = [&]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) { return verdict.has_value() || m_stopping; };
+    m_mutex.AwaitWithTimeout(absl::Condition(&settled), absl::Milliseconds(wait.count()));
+    const std::optional<cluster::TicketVerdict> result = verdict;
+    m_verdicts.erase(*ticket);
+    if (result && result->verdict.kind != cluster::EntryVerdict::Kind::Unknown)
+        return *result;
+    if (!result && m_writer.cancel(*ticket))
+        return failure(ErrorCode::Unavailable, "the log did not take the record in time; it was not written");
+    if (!result && followUp)
+        m_followUps[*ticket] = std::move(followUp);
+    return failure(ErrorCode::OutcomeUnknown, "the log did not confirm the record in time; it may still be accepted");
+}
+
+bool ClusterReplica::writeLater(cluster::Entry entry)
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_writer.submit(std::move(entry)).has_value();
+}
+
+void ClusterReplica::writeLoop()
+{
+    while (!sleepOrStop(WRITE_PAUSE)) {
+        std::optional<cluster::Record> record;
+        {
+            absl::MutexLock lock(&m_mutex);
+            if (m_caughtUp)
+                record = m_writer.poll(m_clock.now(), m_clock.wallNow());
+        }
+        if (!record)
+            continue;
+        const bool appended = handleFailure(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(m_writeLog.append(cluster::encodeRecord(*record)));
+                return true;
+            },
+            [](const Failure&) { return false; });
+        m_metrics.count(appended ? "log_appends" : "log_append_failures");
+        absl::MutexLock lock(&m_mutex);
+        m_writer.onAppendAnswer(appended, m_clock.now());
+    }
+}
+
+void ClusterReplica::membershipLoop()
+{
+    TimePoint lastTick {};
+    while (!sleepOrStop(Duration(0))) {
+        const std::optional<membership::Heartbeat> heartbeat = m_socket->receive(RECEIVE_WAIT_MS);
+        if (heartbeat && !m_leaving) {
+            absl::MutexLock lock(&m_mutex);
+            m_state.tracker.onHeartbeat(*heartbeat, m_clock.now());
+        }
+        if (heartbeat && !heartbeat->report.suspensions.empty())
+            m_hooks.onSuspensions(heartbeat->report.suspensions);
+        const TimePoint now = m_clock.now();
+        if (now - lastTick < TICK || m_leaving)
+            continue;
+        lastTick = now;
+        membership::HostReport report = m_hooks.report();
+        report.logReachable = m_logReachable;
+        std::vector<membership::TrackerAction> actions;
+        {
+            absl::MutexLock lock(&m_mutex);
+            if (m_state.tracker.hearsMajority(now) && m_state.tracker.hostsAhead(now).empty())
+                m_freshAt = now;
+            if (m_caughtUp)
+                actions = m_state.tracker.tick(std::move(report), now);
+        }
+        perform(actions);
+        maybeSnapshot();
+    }
+}
+
+void ClusterReplica::perform(const std::vector<membership::TrackerAction>& actions)
+{
+    for (const membership::TrackerAction& action : actions) {
+        if (const auto* it = std::get_if<membership::SendHeartbeat>(&action))
+            m_socket->send(it->to, it->heartbeat);
+        else if (const auto* admit = std::get_if<membership::WriteAdmit>(&action))
+            propose(admit->entry);
+        else if (const auto* evict = std::get_if<membership::WriteEvict>(&action))
+            propose(evict->entry);
+        else
+            propose(membership::JoinEntry { .host = m_settings.host,
+                .dataCentre = m_settings.dataCentre,
+                .region = m_settings.region,
+                .address = { .ip = m_settings.ip, .peerPort = m_settings.peerPort, .httpPort = m_settings.httpPort },
+                .writer = m_writerId });
+    }
+}
+
+// At most one proposal waits for the log, so that an outage leaves no pile of them.
+void ClusterReplica::propose(cluster::Entry entry)
+{
+    absl::MutexLock lock(&m_mutex);
+    if (!m_proposal)
+        m_proposal = m_writer.submit(std::move(entry));
+}
+
+void ClusterReplica::hostListLoop()
+{
+    while (!sleepOrStop(HOST_LIST_INTERVAL)) {
+        const auto listed = handleFailure(
+            [&]() -> Result<std::optional<std::set<HostId>>> {
+                BOOST_LEAF_AUTO(hosts, platform::readHostList(m_settings.platform));
+                return std::optional(std::move(hosts));
+            },
+            [](const Failure&) { return std::optional<std::set<HostId>>(); });
+        if (!listed)
+            continue;
+        absl::MutexLock lock(&m_mutex);
+        m_state.tracker.onHostList(*listed, m_clock.now());
+    }
+}
+
+// The hosts take turns: each waits longer the later it stands in an order that changes with the snapshot.
+void ClusterReplica::maybeSnapshot()
+{
+    absl::MutexLock lock(&m_mutex);
+    const cluster::ClusterFold& fold = m_state.fold;
+    if (!m_caughtUp || fold.offset().value() < fold.snapshotOffset().value() + m_settings.snapshotEvery) {
+        m_snapshotWantedSince.reset();
+        return;
+    }
+    const TimePoint now = m_clock.now();
+    if (!m_snapshotWantedSince)
+        m_snapshotWantedSince = now;
+    const std::uint64_t seed = fold.snapshotOffset().value();
+    const std::uint64_t own = stableHash(m_settings.host.value(), seed);
+    Duration delay { 0 };
+    for (const HostId& id : m_state.tracker.heardHosts(now)) {
+        if (stableHash(id.value(), seed) < own)
+            delay += SNAPSHOT_STAGGER;
+    }
+    if (now - *m_snapshotWantedSince < delay || !m_logReachable)
+        return;
+    m_snapshotWantedSince = now + SNAPSHOT_STAGGER;
+    m_writer.submit(fold.snapshot());
+    m_metrics.count("snapshots_written");
+}
+
+std::vector<platform::LogItem> ClusterReplica::recentRecords(Offset from) const
+{
+    constexpr std::size_t MOST_RECORDS = 1000;
+    absl::MutexLock lock(&m_mutex);
+    std::vector<platform::LogItem> items;
+    if (m_recent.empty() || m_recent.front().offset > from)
+        return items;
+    for (std::size_t n = from.value() - m_recent.front().offset.value(); n < m_recent.size(); ++n) {
+        if (items.size() == MOST_RECORDS)
+            break;
+        items.push_back(m_recent[n]);
+    }
+    return items;
+}
+
+bool ClusterReplica::isStale() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return !m_caughtUp || m_clock.now() - m_freshAt > m_settings.staleConfigLimit;
+}
+
+bool ClusterReplica::writesPending() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return !m_writer.idle();
+}
+
+void ClusterReplica::leave(Duration wait)
+{
+    m_leaving = true;
+    membership::HostLife self = read([](const ReplicaState& it) { return it.tracker.selfLife(); });
+    if (self.incarnation == Incarnation(0))
+        return;
+    handleFailure(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(write(membership::LeaveEntry { .life = self }, wait));
+            return true;
+        },
+        [](const Failure& it) {
+            spdlog::warn("left without a record: {}", it.message);
+            return false;
+        });
+}
+
+nlohmann::json ClusterReplica::dump() const
+{
+    absl::MutexLock lock(&m_mutex);
+    const TimePoint now = m_clock.now();
+    nlohmann::json members = nlohmann::json::object();
+    for (const auto& [id, member] : m_state.fold.membership().members()) {
+        const bool self = id == m_settings.host;
+        const membership::HostReport* report = m_state.tracker.reportOf(id, now);
+        members[id.value()] = { { "incarnation", member.incarnation }, { "data_centre", member.dataCentre },
+            { "voter", member.voter }, { "heard", self || report },
+            { "governing",
+                self         ? m_state.fold.governingOffset()
+                    : report ? report->governing
+                             : Offset(0) } };
+    }
+    nlohmann::json owners = nlohmann::json::object();
+    for (const auto& [upstream, owner] : m_state.owners.assignment())
+        owners[upstream.value()] = { { "owner", owner }, { "since", m_state.owners.ownerSince(upstream) } };
+    return { { "log",
+                 { { "reachable", m_logReachable.load() }, { "offset", m_state.fold.offset() },
+                     { "governing", m_state.fold.governingOffset() }, { "caught_up", m_caughtUp },
+                     { "snapshot", m_state.fold.snapshotOffset() }, { "waiting_entries", m_writer.waiting() },
+                     { "lists_age_ms", (now - m_freshAt).count() } } },
+        { "membership",
+            { { "self", m_state.tracker.selfLife().incarnation }, { "may_act", m_state.tracker.mayAct(now) },
+                { "settled", m_state.tracker.settledOffset(now) }, { "members", members } } },
+        { "ownership", owners }, { "idempotency", { { "claims", m_state.fold.claims().size() } } },
+        { "peer",
+            { { "heartbeat_bytes_sent", m_socket->bytesSent() },
+                { "heartbeat_bytes_received", m_socket->bytesReceived() },
+                { "heartbeats_rejected", m_socket->rejected() } } } };
+}
+
+}
--- /dev/null
+++ b/src/node/internal/node.cpp
@@ -0,0 +1,336 @@
+#include "fireflyhaven/node/node.h"
+
+#include "adminservice.h"
+#include "chatservice.h"
+#include "fireflyhaven/http/server.h"
+#include "fireflyhaven/peer/peerserver.h"
+#include "peermessages.h"
+#include "servicecalls.h"
+
+#include <absl/time/clock.h>
+#include <spdlog/spdlog.h>
+
+namespace fireflyhaven::node {
+
+namespace {
+
+constexpr int STATUS_REDIRECT = 307;
+constexpr int STATUS_NOT_FOUND = 404;
+constexpr int STATUS_UNAVAILABLE = 503;
+constexpr Duration FETCH_TIMEOUT { 1000 };
+constexpr Duration ADDRESS_LIFETIME { 3000 };
+constexpr Duration COME_BACK { 1000 };
+constexpr Duration SHUTDOWN_POLL { 50 };
+constexpr Duration LEAVE_WAIT { 3000 };
+const std::string SERVICES_PREFIX = "/v1/services/";
+
+struct EntryHost {
+    HostId id;
+    DataCentreId dataCentre;
+    RegionId region;
+    membership::HostAddress address;
+    std::string url() const { return "http://" + address.ip + ":" + std::to_string(address.httpPort); }
+};
+
+class EntryNode final : public Node {
+public:
+    EntryNode(NodeSettings settings, const IClock& clock)
+        : m_settings(std::move(settings))
+        , m_clock(clock)
+        , m_peers(m_settings.clusterKey)
+    {
+    }
+    EntryNode(const EntryNode&) = delete;
+    EntryNode& operator=(const EntryNode&) = delete;
+    ~EntryNode() override
+    {
+        if (m_replica)
+            m_replica->stop();
+        m_http.reset();
+        m_peerServer.reset();
+    }
+
+    Result<void> listen();
+    void shutDown() override;
+
+private:
+    void build(std::unique_ptr<peer::HeartbeatSocket> socket);
+    ReplicaHooks hooks();
+    membership::HostReport report() const;
+    std::vector<platform::LogItem> fetchRecords(const membership::HostAddress& from, Offset offset);
+    bool servePeer(const std::string& payload, peer::IPieceSink& sink);
+    http::Response serve(const http::Request& request);
+    http::Response serveCaller(const http::Request& request);
+    http::Response addresses() const;
+    http::Response redirect(const http::Request& request) const;
+    std::vector<EntryHost> hostsInService() const;
+    bool selfInService() const;
+    nlohmann::json dump() const;
+
+    const NodeSettings m_settings;
+    const IClock& m_clock;
+    Metrics m_metrics;
+    peer::PeerClient m_peers;
+    std::atomic<bool> m_draining { false };
+    std::atomic<int> m_callersServed { 0 };
+    std::unique_ptr<ClusterReplica> m_replica;
+    std::unique_ptr<QualityService> m_quality;
+    std::unique_ptr<BillingService> m_billing;
+    std::unique_ptr<OwnerExecutor> m_executor;
+    std::unique_ptr<RunRouter> m_router;
+    std::unique_ptr<LoadBoard> m_board;
+    std::unique_ptr<Gatekeeper> m_gatekeeper;
+    std::unique_ptr<ChatService> m_chat;
+    std::unique_ptr<ServiceCalls> m_services;
+    std::unique_ptr<AdminService> m_admin;
+    std::unique_ptr<peer::PeerServer> m_peerServer;
+    std::unique_ptr<http::Server> m_http;
+};
+
+ReplicaHooks EntryNode::hooks()
+{
+    return { .report = [this] { return report(); },
+        .onSuspensions = [this](const auto& it) { m_quality->onPeerSuspensions(it); },
+        .onGoverning = [this](const ReplicaState& it) { m_executor->onGoverning(it); },
+        .onMemberGone = [this](const HostId& it) { m_billing->onMemberGone(it); },
+        .fetchFromPeer = [this](const auto& from, Offset offset) { return fetchRecords(from, offset); } };
+}
+
+void EntryNode::build(std::unique_ptr<peer::HeartbeatSocket> socket)
+{
+    m_replica = std::make_unique<ClusterReplica>(m_settings, m_clock, m_metrics, std::move(socket), hooks());
+    m_quality = std::make_unique<QualityService>(m_settings, m_clock, m_metrics, *m_replica);
+    m_billing = std::make_unique<BillingService>(m_settings, m_clock, m_metrics, *m_replica, m_peers);
+    m_executor = std::make_unique<OwnerExecutor>(m_settings, m_clock, m_metrics, *m_replica,
+        [this](const ModelVersion& version, Offset revision) { return m_quality->isSuspended(version, revision); });
+    m_router = std::make_unique<RunRouter>(m_settings, *m_replica, *m_executor, m_peers);
+    m_board = std::make_unique<LoadBoard>(m_settings, m_clock, *m_replica, *m_executor);
+    m_gatekeeper = std::make_unique<Gatekeeper>(EntryParts { .settings = m_settings,
+        .clock = m_clock,
+        .metrics = m_metrics,
+        .replica = *m_replica,
+        .router = *m_router,
+        .board = *m_board,
+        .billing = *m_billing,
+        .quality = *m_quality });
+    m_chat = std::make_unique<ChatService>(
+        *m_gatekeeper, routing::SessionSigner(m_settings.sessionKey, m_settings.previousSessionKey));
+    m_services = std::make_unique<ServiceCalls>(*m_gatekeeper);
+    m_admin = std::make_unique<AdminService>(m_settings, m_clock, m_metrics, *m_replica, [this] { return dump(); });
+}
+
+Result<void> EntryNode::listen()
+{
+    BOOST_LEAF_AUTO(socket, peer::HeartbeatSocket::open(m_settings.ip, m_settings.peerPort, m_settings.clusterKey));
+    build(std::move(socket));
+    const peer::PeerServerOptions peerOptions { .ip = m_settings.ip, .port = m_settings.peerPort };
+    BOOST_LEAF_ASSIGN(m_peerServer,
+        peer::PeerServer::start(peerOptions, m_settings.clusterKey,
+            [this](const std::string& payload, peer::IPieceSink& sink) { return servePeer(payload, sink); }));
+    const http::ServerOptions httpOptions { .ip = m_settings.ip,
+        .port = m_settings.httpPort,
+        .maxBodyBytes = m_settings.maxBodyBytes,
+        .maxConnections = m_settings.maxConnections,
+        .idleTimeout = m_settings.idleTimeout };
+    const auto refusal = [](int status, const std::string& code, const std::string& message) {
+        return errorResponse({ .status = status, .code = code, .message = message }, {});
+    };
+    BOOST_LEAF_ASSIGN(m_http,
+        http::Server::start(
+            httpOptions, [this](const http::Request& it) { return serve(it); }, refusal));
+    m_executor->start();
+    m_quality->start();
+    m_billing->start();
+    m_replica->start();
+    spdlog::info("host {} in {} serves {}:{}", m_settings.host.value(), m_settings.dataCentre.value(), m_settings.ip,
+        m_settings.httpPort);
+    return {};
+}
+
+membership::HostReport EntryNode::report() const
+{
+    membership::HostReport report;
+    report.draining = m_draining;
+    report.suspensions = m_quality->unloggedSuspensions();
+    report.loads = m_executor->loads();
+    report.demands = m_gatekeeper->demands();
+    return report;
+}
+
+std::vector<platform::LogItem> EntryNode::fetchRecords(const membership::HostAddress& from, Offset offset)
+{
+    using Items = std::vector<platform::LogItem>;
+    return handleFailure(
+        [&]() -> Result<Items> {
+            BOOST_LEAF_AUTO(call, m_peers.call(from, encodeMessage(PeerRequest(FetchRecords { .from = offset }))));
+            return decodeMessage<Items>(call->next(FETCH_TIMEOUT)).value_or(Items {});
+        },
+        [](const Failure&) { return Items {}; });
+}
+
+bool EntryNode::servePeer(const std::string& payload, peer::IPieceSink& sink)
+{
+    const std::optional<PeerRequest> request = decodeMessage<PeerRequest>(payload);
+    if (!request) {
+        m_metrics.count("peer_requests_unreadable");
+        return false;
+    }
+    if (const auto* run = std::get_if<dispatch::RunRequest>(&*request)) {
+        m_executor->run(
+            *run, [&](const dispatch::RunEvent& event) { return sink.write(encodeMessage(event)); },
+            [&] { return sink.cancelled(); });
+    } else if (const auto* fetch = std::get_if<FetchRecords>(&*request)) {
+        sink.write(encodeMessage(m_replica->recentRecords(fetch->from)));
+    } else if (const auto* store = std::get_if<StoreBill>(&*request)) {
+        m_billing->storeCopy(store->holder, store->bill);
+        sink.write("stored");
+    } else if (const auto* release = std::get_if<ReleaseBills>(&*request)) {
+        m_billing->releaseCopies(release->holder, release->keys);
+    }
+    return true;
+}
+
+http::Response EntryNode::serve(const http::Request& request)
+{
+    if (request.path == "/healthz")
+        return { .status = 200, .headers = {}, .body = "ok\n", .stream = {} };
+    if (request.path == "/metrics")
+        return {
+            .status = 200, .headers = { { "Content-Type", "text/plain" } }, .body = m_metrics.text(), .stream = {}
+        };
+    if (request.path.rfind("/admin/", 0) == 0)
+        return m_admin->handle(request);
+    if (request.path == "/v1/addresses" && request.method == "GET")
+        return addresses();
+    // Counted before the look at `m_draining`, so that a shutdown sees each request that is let in.
+    ++m_callersServed;
+    http::Response response = serveCaller(request);
+    if (!response.stream) {
+        --m_callersServed;
+        return response;
+    }
+    // A streamed answer counts as served until its stream is gone.
+    std::shared_ptr<http::IBodyStream> stream = std::move(response.stream);
+    http::IBodyStream* raw = stream.get();
+    response.stream = std::shared_ptr<http::IBodyStream>(raw, [this, held = std::move(stream)](auto*) mutable {
+        held.reset();
+        --m_callersServed;
+    });
+    return response;
+}
+
+http::Response EntryNode::serveCaller(const http::Request& request)
+{
+    if (m_draining || !selfInService())
+        return redirect(request);
+    if (request.path == "/v1/chat/completions" && request.method == "POST")
+        return m_chat->handle(request);
+    if (request.path.rfind(SERVICES_PREFIX, 0) == 0)
+        return m_services->handle(request);
+    return errorResponse(
+        { .status = STATUS_NOT_FOUND, .code = "not_found", .message = "no such path" }, requestIdOf(request).value());
+}
+
+bool EntryNode::selfInService() const
+{
+    const std::shared_ptr<const config::Lists> lists = m_replica->lists();
+    const auto* dataCentre = config::findItem(lists->dataCentres, m_settings.dataCentre);
+    return !dataCentre || dataCentre->value.inService;
+}
+
+// Hosts that take new work, this host's data centre first, then its region.
+std::vector<EntryHost> EntryNode::hostsInService() const
+{
+    std::vector<EntryHost> hosts = m_replica->read([&](const ReplicaState& state) {
+        std::vector<EntryHost> found;
+        const config::Lists& lists = state.fold.config().lists();
+        for (const auto& [id, member] : state.fold.membership().members()) {
+            const bool self = id == m_settings.host;
+            const membership::HostReport* report = state.tracker.reportOf(id, m_clock.now());
+            const bool live = self ? !m_draining : report && !report->draining;
+            const auto* dataCentre = config::findItem(lists.dataCentres, member.dataCentre);
+            if (live && (!dataCentre || dataCentre->value.inService))
+                found.push_back({ id, member.dataCentre, member.region, member.address });
+        }
+        return found;
+    });
+    const auto distance = [&](const EntryHost& it) {
+        if (it.dataCentre == m_settings.dataCentre)
+            return 0;
+        return it.region == m_settings.region ? 1 : 2;
+    };
+    std::stable_sort(
+        hosts.begin(), hosts.end(), [&](const EntryHost& a, const EntryHost& b) { return distance(a) < distance(b); });
+    return hosts;
+}
+
+http::Response EntryNode::addresses() const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const EntryHost& it : hostsInService())
+        list.push_back({ { "host", it.id }, { "data_centre", it.dataCentre }, { "url", it.url() } });
+    return jsonResponse(200, { { "addresses", list }, { "ttl_ms", ADDRESS_LIFETIME.count() } });
+}
+
+http::Response EntryNode::redirect(const http::Request& request) const
+{
+    const std::string id = requestIdOf(request).value();
+    for (const EntryHost& it : hostsInService()) {
+        if (it.id == m_settings.host)
+            continue;
+        http::Response response = errorResponse(
+            { .status = STATUS_REDIRECT, .code = "moved", .message = "this host takes no new work" }, id);
+        response.headers["Location"] = it.url() + request.path;
+        return response;
+    }
+    return errorResponse({ .status = STATUS_UNAVAILABLE,
+                             .code = "out_of_service",
+                             .message = "no host is in service",
+                             .run = RunState::NotRun,
+                             .retryAfter = COME_BACK },
+        id);
+}
+
+nlohmann::json EntryNode::dump() const
+{
+    nlohmann::json state = m_replica->dump();
+    state["host"] = { { "id", m_settings.host }, { "data_centre", m_settings.dataCentre },
+        { "draining", m_draining.load() }, { "callers", m_callersServed.load() },
+        { "connections", m_http->openConnections() }, { "peer_calls", m_peerServer->runningCalls() } };
+    state["dispatch"] = m_executor->dump();
+    state["quality"] = m_quality->dump();
+    state["billing"] = m_billing->dump();
+    state["admission"] = m_gatekeeper->dump();
+    state["counters"] = m_metrics.dump();
+    return state;
+}
+
+void EntryNode::shutDown()
+{
+    spdlog::info("shutting down");
+    m_draining = true;
+    const TimePoint giveUpAt = m_clock.now() + m_settings.shutdownLimit;
+    // Peers see `draining` with the next heartbeat and callers with the next answer; what runs may finish.
+    const auto busy
+        = [&] { return m_callersServed > 0 || m_peerServer->runningCalls() > 0 || m_replica->writesPending(); };
+    absl::SleepFor(absl::Milliseconds(ADDRESS_LIFETIME.count()));
+    while (busy() && m_clock.now() < giveUpAt)
+        absl::SleepFor(absl::Milliseconds(SHUTDOWN_POLL.count()));
+    const Duration left = std::max(Duration(0), giveUpAt - m_clock.now());
+    if (!m_billing->flush(left))
+        spdlog::error("bills are left unwritten at shutdown; peers hold their copies");
+    m_http->stopListening();
+    m_replica->leave(LEAVE_WAIT);
+    spdlog::info("shut down");
+}
+
+}
+
+Result<std::unique_ptr<Node>> Node::start(NodeSettings settings, const IClock& clock)
+{
+    auto node = std::make_unique<EntryNode>(std::move(settings), clock);
+    BOOST_LEAF_CHECK(node->listen());
+    return std::unique_ptr<Node>(std::move(node));
+}
+
+}
--- /dev/null
+++ b/src/node/internal/ownerexecutor.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "clusterreplica.h"
+#include "fireflyhaven/common/workerpool.h"
+#include "fireflyhaven/dispatch/types/run.h"
+#include "fireflyhaven/platform/upstreamclient.h"
+#include "upstreamgate.h"
+
+namespace fireflyhaven::node {
+
+// Runs attempts at the upstreams that this host owns: admits, queues, checks the right to send, sends and counts.
+class OwnerExecutor {
+public:
+    // Tells whether a version is suspended at a revision of its list item, by whatever way this host knows.
+    using IsSuspended = std::function<bool(const ModelVersion&, Offset)>;
+
+    OwnerExecutor(const NodeSettings& settings, const IClock& clock, Metrics& metrics, ClusterReplica& replica,
+        IsSuspended isSuspended);
+    ~OwnerExecutor();
+    OwnerExecutor(const OwnerExecutor&) = delete;
+    OwnerExecutor& operator=(const OwnerExecutor&) = delete;
+
+    void start();
+    // Runs the attempt on this thread; the last event is Done, Refused or Failed.
+    void run(const dispatch::RunRequest& request, const platform::RunEventReceiver& receiver,
+        const http::Cancelled& cancelled);
+    // Owners have changed; called with the replica's lock held.
+    void onGoverning(const ReplicaState& state);
+    std::vector<membership::UpstreamLoad> loads() const;
+    nlohmann::json dump() const;
+
+private:
+    struct Owned {
+        Offset since;
+        config::Upstream upstream;
+        std::shared_ptr<UpstreamGate> gate;
+    };
+
+    // Why the attempt may not be sent now; empty where it may.
+    std::string refusalOf(const dispatch::RunRequest& request) const;
+    std::optional<Owned> ownedOf(const UpstreamId& upstream) const;
+    void send(const config::Upstream& upstream, UpstreamGate& gate, const dispatch::RunRequest& request,
+        const platform::RunEventReceiver& receiver, const http::Cancelled& cancelled);
+    void pollLoop();
+
+    const NodeSettings& m_settings;
+    const IClock& m_clock;
+    Metrics& m_metrics;
+    ClusterReplica& m_replica;
+    const IsSuspended m_isSuspended;
+    mutable absl::Mutex m_mutex;
+    std::map<UpstreamId, Owned> m_owned ABSL_GUARDED_BY(m_mutex);
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+    WorkerPool m_pollers { 32 };
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/src/routing/internal/rollout.cpp
@@ -0,0 +1,27 @@
+#include "fireflyhaven/routing/rollout.h"
+
+#include "fireflyhaven/common/hash.h"
+
+#include <cmath>
+
+namespace fireflyhaven::routing {
+
+const config::AllowanceUse* assignVersion(const std::vector<config::AllowanceUse>& uses, const SessionId& session)
+{
+    const config::AllowanceUse* best = nullptr;
+    double bestScore = 0;
+    const std::uint64_t sessionHash = stableHash(session.value());
+    for (const config::AllowanceUse& it : uses) {
+        if (it.share <= 0)
+            continue;
+        const double u = unitInterval(combineHashes(sessionHash, stableHash(it.version.text())));
+        const double score = -it.share / std::log1p(-u);
+        if (!best || score > bestScore) {
+            best = &it;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+}
--- /dev/null
+++ b/src/routing/internal/upstreampicker.cpp
@@ -0,0 +1,83 @@
+#include "fireflyhaven/routing/upstreampicker.h"
+
+#include "fireflyhaven/common/hash.h"
+
+#include <algorithm>
+
+namespace fireflyhaven::routing {
+
+namespace {
+
+double loadOf(const UpstreamOption& it)
+{
+    return static_cast<double>(it.inFlight + it.queued) / static_cast<double>(std::max(1U, it.limit));
+}
+
+std::uint64_t affinityOf(const UpstreamOption& it, std::uint64_t prefixHash)
+{
+    return combineHashes(stableHash(it.upstream.value()), prefixHash);
+}
+
+std::vector<std::size_t> usable(const std::vector<UpstreamOption>& options)
+{
+    std::vector<std::size_t> positions;
+    const bool anyGood
+        = std::any_of(options.begin(), options.end(), [](const UpstreamOption& it) { return !it.avoided; });
+    for (std::size_t n = 0; n < options.size(); ++n) {
+        if (!anyGood || !options[n].avoided)
+            positions.push_back(n);
+    }
+    return positions;
+}
+
+std::size_t leastLoaded(
+    const std::vector<UpstreamOption>& options, const std::vector<std::size_t>& positions, std::uint64_t prefixHash)
+{
+    return *std::min_element(positions.begin(), positions.end(), [&](std::size_t a, std::size_t b) {
+        const Duration first = expectedFirstToken(options[a]);
+        const Duration second = expectedFirstToken(options[b]);
+        if (first != second)
+            return first < second;
+        return affinityOf(options[a], prefixHash) > affinityOf(options[b], prefixHash);
+    });
+}
+
+}
+
+Duration expectedFirstToken(const UpstreamOption& it)
+{
+    constexpr Duration REMOTE_DATA_CENTRE { 2 };
+    const double load = loadOf(it);
+    // Beyond its limit an upstream serves in turns; below it, batching slows prefill gradually.
+    const double slowdown = load < 1 ? 1 + load : 2 * (1 + load);
+    const auto time = Duration(static_cast<Duration::rep>(static_cast<double>(it.firstToken.count()) * slowdown));
+    return it.sameDataCentre ? time : time + REMOTE_DATA_CENTRE;
+}
+
+std::size_t pickUpstream(const std::vector<UpstreamOption>& options, std::uint64_t prefixHash, const PickOptions& how)
+{
+    std::vector<std::size_t> positions = usable(options);
+    if (positions.empty())
+        return options.size();
+    if (how.policy == PickPolicy::LeastLoaded)
+        return leastLoaded(options, positions, prefixHash);
+    const auto favourite = std::max_element(positions.begin(), positions.end(), [&](std::size_t a, std::size_t b) {
+        return affinityOf(options[a], prefixHash) < affinityOf(options[b], prefixHash);
+    });
+    if (how.policy == PickPolicy::PlainHash)
+        return *favourite;
+    double total = 0;
+    for (const std::size_t n : positions)
+        total += loadOf(options[n]);
+    const double bound = std::max(how.freeLoad, how.loadBound * total / static_cast<double>(positions.size()));
+    std::sort(positions.begin(), positions.end(), [&](std::size_t a, std::size_t b) {
+        return affinityOf(options[a], prefixHash) > affinityOf(options[b], prefixHash);
+    });
+    for (const std::size_t n : positions) {
+        if (loadOf(options[n]) <= std::min(bound, 1.0))
+            return n;
+    }
+    return leastLoaded(options, positions, prefixHash);
+}
+
+}
