--- a/include/fireflyhaven/cluster/types/record.h
+++ b/include/fireflyhaven/cluster/types/record.h
@@ -19,7 +19,7 @@
     nlohmann::json state;
 };
 
-using Entry = std::variant<ConfigEntry, membership::JoinEntry, membership::AdmitEntry, membership::LeaveEntry,
+using Entry = std::variant<ConfigEntry, membership::JoinEntry, membership::AdmitEntry, membership::ConfirmEntry, membership::LeaveEntry,
     membership::EvictEntry, idempotency::ClaimEntry, idempotency::ResultEntry, quality::RatingsEntry,
     quality::SuspendEntry, SnapshotEntry>;
 
--- a/include/fireflyhaven/membership/membershipfold.h
+++ b/include/fireflyhaven/membership/membershipfold.h
@@ -6,12 +6,15 @@
 
 namespace fireflyhaven::membership {
 
-// Voters of one region: the present set, and the set before the last change, from which a late host may still count.
+// Voters of one region: the present set, and the set before a change that is not confirmed yet, by which a late host may
+// still count. Both are the same while no change is under way.
 struct RegionVoters {
     std::set<HostId> current;
     std::set<HostId> previous;
-    // Offset of the last change of the voters.
+    // Offset of the last record that changed either set.
     Offset changedAt;
+
+    bool isConfirmed() const { return current == previous; }
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegionVoters, current, previous, changedAt)
 
@@ -22,14 +25,15 @@
 
 // Folds membership records, in the order of the log, into members and voters.
 //
-// Voters change in steps: a step is accepted only with witnesses, a majority of the voters before and after the step
-// that came before, which have folded that step. So whoever still counts by voters older than `previous` has lost its
-// majority already.
+// Voters change in steps. A step (admit, or evict by endorsement) is accepted only while no other is under way, and is
+// ended by a confirm record, which shows that majorities of the voters before and after the step have folded it. So
+// whoever still counts by older voters has lost its majority by the time of the confirm record.
 class MembershipFold {
 public:
     // Each returns whether the record was accepted.
     bool apply(const JoinEntry& entry, Offset offset);
     bool apply(const AdmitEntry& entry, Offset offset);
+    bool apply(const ConfirmEntry& entry, Offset offset);
     bool apply(const LeaveEntry& entry, Offset offset);
     bool apply(const EvictEntry& entry, Offset offset);
 
@@ -43,7 +47,8 @@
     static MembershipFold fromSnapshot(const nlohmann::json& document);
 
 private:
-    bool hasWitnesses(const RegionId& region, const std::vector<HostId>& witnesses) const;
+    bool holds(const VotersProof& proof) const;
+    bool evictGone(const EvictEntry& entry, Offset offset);
     void removeGone(const HostLife& life, Offset offset);
 
     std::map<HostId, Member> m_members;
--- a/include/fireflyhaven/membership/membershiptracker.h
+++ b/include/fireflyhaven/membership/membershiptracker.h
@@ -33,12 +33,15 @@
 struct WriteAdmit {
     AdmitEntry entry;
 };
+struct WriteConfirm {
+    ConfirmEntry entry;
+};
 struct WriteEvict {
     EvictEntry entry;
 };
 // Join anew, as a new life.
 struct WriteJoin { };
-using TrackerAction = std::variant<SendHeartbeat, WriteAdmit, WriteEvict, WriteJoin>;
+using TrackerAction = std::variant<SendHeartbeat, WriteAdmit, WriteConfirm, WriteEvict, WriteJoin>;
 
 // Follows the members of this host's region by heartbeats, decides whether this host may act as owner, and proposes
 // changes of the voters. Does no I/O: takes events and the time, returns actions.
@@ -48,6 +51,7 @@
 // - A voter acknowledges a heartbeat only where its sender has folded every governing record that the voter has.
 // - A voter endorses an eviction only after it has acknowledged none of the host's heartbeats for a whole lease, and
 //   acknowledges that life of the host never again.
+// - A host that joins anew stops acknowledging before it writes so.
 class MembershipTracker {
 public:
     explicit MembershipTracker(TrackerOptions options);
@@ -107,11 +111,15 @@
     bool isDeaf(const Peer& peer, TimePoint now) const;
     bool isSuspect(const Peer& peer, TimePoint now) const;
     bool endorses(const HostLife& life) const { return m_endorsed.count(life) > 0; }
-    std::vector<HostId> witnesses() const;
+    VotersProof proof() const;
+    bool holds(const VotersProof& proof) const;
     std::vector<HostId> endorsersOf(const HostLife& life, TimePoint now) const;
     // Whether it is this host's turn to write a record that any member may write.
     bool isTurn(TimePoint since, TimePoint now) const;
+    // Notes since when a record is wanted, and tells whether it is this host's turn to write it.
+    bool isTurnFor(bool wanted, std::optional<TimePoint>& wantedSince, TimePoint now) const;
     void proposeAdmit(std::vector<TrackerAction>& actions, TimePoint now);
+    void proposeConfirm(std::vector<TrackerAction>& actions, TimePoint now);
     void proposeEvict(std::vector<TrackerAction>& actions, TimePoint now);
     void proposeHostListEvict(std::vector<TrackerAction>& actions, TimePoint now);
     void proposeRejoin(std::vector<TrackerAction>& actions, TimePoint now);
@@ -122,7 +130,11 @@
     Offset m_folded;
     Offset m_governing;
     Offset m_votersChangedAt;
+    // When this host folded the last change of the voters, and the one before it.
     TimePoint m_votersFoldedAt {};
+    TimePoint m_earlierVotersFoldedAt {};
+    // The life that this host has asked to replace; it acknowledges nothing any more.
+    Incarnation m_abandoned;
     std::map<HostId, Peer> m_peers;
     std::set<HostLife> m_endorsed;
     std::deque<SentHeartbeat> m_sent;
@@ -133,6 +145,7 @@
     std::optional<TimePoint> m_lastTick;
     std::optional<TimePoint> m_lastSend;
     std::optional<TimePoint> m_admitWantedSince;
+    std::optional<TimePoint> m_confirmWantedSince;
     std::optional<TimePoint> m_evictWantedSince;
     std::optional<TimePoint> m_refusedSince;
     std::optional<TimePoint> m_lastProposal;
--- a/include/fireflyhaven/membership/types/entries.h
+++ b/include/fireflyhaven/membership/types/entries.h
@@ -39,13 +39,27 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HostLife, host, incarnation)
 
-// Makes learners voters. `witnesses` have folded the region's last change of voters.
-struct AdmitEntry {
+// Shows that a change of the voters is known to enough hosts for the next step: `witnesses` have folded the change of the
+// region's voters at `votersChangedAt`.
+struct VotersProof {
     RegionId region;
-    std::vector<HostLife> learners;
+    Offset votersChangedAt;
     std::vector<HostId> witnesses;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdmitEntry, region, learners, witnesses)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(VotersProof, region, votersChangedAt, witnesses)
+
+// Makes learners voters.
+struct AdmitEntry {
+    VotersProof proof;
+    std::vector<HostLife> learners;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdmitEntry, proof, learners)
+
+// Ends a change of the voters: the voters before it no longer count.
+struct ConfirmEntry {
+    VotersProof proof;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfirmEntry, proof)
 
 // A host takes itself out; it has stopped sending and acknowledging before it writes this.
 struct LeaveEntry {
@@ -62,13 +76,12 @@
 
 // Takes out hosts that are no longer there. For `Endorsed`, `endorsers` are voters that acknowledge none of them.
 struct EvictEntry {
-    RegionId region;
+    VotersProof proof;
     std::vector<HostLife> lives;
     EvictEvidence evidence = EvictEvidence::Endorsed;
     std::vector<HostId> endorsers;
-    std::vector<HostId> witnesses;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EvictEntry, region, lives, evidence, endorsers, witnesses)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EvictEntry, proof, lives, evidence, endorsers)
 
 struct Member {
     HostId id;
--- a/src/cluster/internal/record.cpp
+++ b/src/cluster/internal/record.cpp
@@ -6,7 +6,7 @@
 
 // Names of the entry kinds, in the order of the alternatives of Entry.
 constexpr const char* KIND_NAMES[]
-    = { "config", "join", "admit", "leave", "evict", "claim", "result", "ratings", "suspend", "snapshot" };
+    = { "config", "join", "admit", "confirm", "leave", "evict", "claim", "result", "ratings", "suspend", "snapshot" };
 static_assert(std::size(KIND_NAMES) == std::variant_size_v<Entry>);
 
 nlohmann::json bodyOf(const ConfigEntry& entry) { return config::changeSetToJson(entry.changes); }
--- a/src/membership/internal/membershipfold.cpp
+++ b/src/membership/internal/membershipfold.cpp
@@ -36,17 +36,17 @@
 
 bool MembershipFold::apply(const AdmitEntry& entry, Offset offset)
 {
-    if (entry.learners.empty() || !hasWitnesses(entry.region, entry.witnesses))
+    const RegionId& region = entry.proof.region;
+    if (entry.learners.empty() || !voters(region).isConfirmed() || !holds(entry.proof))
         return false;
     std::vector<Member*> admitted;
     for (const HostLife& it : entry.learners) {
         const auto member = m_members.find(it.host);
-        if (!isLive(it) || member->second.voter || member->second.region != entry.region)
+        if (!isLive(it) || member->second.voter || member->second.region != region)
             return false;
         admitted.push_back(&member->second);
     }
-    RegionVoters& voters = m_voters[entry.region];
-    voters.previous = voters.current;
+    RegionVoters& voters = m_voters[region];
     for (Member* it : admitted) {
         it->voter = true;
         voters.current.insert(it->id);
@@ -55,6 +55,16 @@
     return true;
 }
 
+bool MembershipFold::apply(const ConfirmEntry& entry, Offset offset)
+{
+    if (voters(entry.proof.region).isConfirmed() || !holds(entry.proof))
+        return false;
+    RegionVoters& voters = m_voters[entry.proof.region];
+    voters.previous = voters.current;
+    voters.changedAt = offset;
+    return true;
+}
+
 bool MembershipFold::apply(const LeaveEntry& entry, Offset offset)
 {
     if (!isLive(entry.life))
@@ -65,19 +75,17 @@
 
 bool MembershipFold::apply(const EvictEntry& entry, Offset offset)
 {
-    const auto wrongRegion = [&](const HostLife& it) { return !isLive(it) || find(it.host)->region != entry.region; };
-    if (entry.lives.empty() || std::any_of(entry.lives.begin(), entry.lives.end(), wrongRegion))
+    const RegionId& region = entry.proof.region;
+    const auto wrong = [&](const HostLife& it) { return !isLive(it) || find(it.host)->region != region; };
+    if (entry.lives.empty() || std::any_of(entry.lives.begin(), entry.lives.end(), wrong))
         return false;
-    if (entry.evidence == EvictEvidence::HostList) {
-        for (const HostLife& it : entry.lives)
-            removeGone(it, offset);
-        return true;
-    }
-    RegionVoters& voters = m_voters[entry.region];
+    if (entry.evidence == EvictEvidence::HostList)
+        return evictGone(entry, offset);
     const std::set<HostId> endorsers(entry.endorsers.begin(), entry.endorsers.end());
-    if (!isMajority(endorsers, voters.current) || !hasWitnesses(entry.region, entry.witnesses))
+    const bool endorsed = isMajority(endorsers, voters(region).current);
+    if (!endorsed || !voters(region).isConfirmed() || !holds(entry.proof))
         return false;
-    voters.previous = voters.current;
+    RegionVoters& voters = m_voters[region];
     for (const HostLife& it : entry.lives) {
         voters.current.erase(it.host);
         m_members.erase(it.host);
@@ -86,6 +94,13 @@
     return true;
 }
 
+bool MembershipFold::evictGone(const EvictEntry& entry, Offset offset)
+{
+    for (const HostLife& it : entry.lives)
+        removeGone(it, offset);
+    return true;
+}
+
 const Member* MembershipFold::find(const HostId& id) const
 {
     const auto it = m_members.find(id);
@@ -105,9 +120,11 @@
     return it && it->incarnation == life.incarnation;
 }
 
-bool MembershipFold::hasWitnesses(const RegionId& region, const std::vector<HostId>& witnesses) const
+bool MembershipFold::holds(const VotersProof& proof) const
 {
-    return isJointMajority(std::set<HostId>(witnesses.begin(), witnesses.end()), voters(region));
+    const RegionVoters& present = voters(proof.region);
+    return proof.votersChangedAt == present.changedAt
+        && isJointMajority(std::set<HostId>(proof.witnesses.begin(), proof.witnesses.end()), present);
 }
 
 // A host that is certainly gone acknowledges nobody, so it leaves the previous voters too.
--- a/src/membership/internal/membershiptracker.cpp
+++ b/src/membership/internal/membershiptracker.cpp
@@ -26,6 +26,7 @@
     const RegionVoters& voters = fold.voters(m_options.region);
     if (voters.changedAt != m_votersChangedAt) {
         m_votersChangedAt = voters.changedAt;
+        m_earlierVotersFoldedAt = m_votersFoldedAt;
         m_votersFoldedAt = now;
     }
     for (const auto& [id, member] : fold.members()) {
@@ -101,6 +102,7 @@
         const std::size_t before = actions.size();
         proposeRejoin(actions, now);
         proposeHostListEvict(actions, now);
+        proposeConfirm(actions, now);
         proposeEvict(actions, now);
         proposeAdmit(actions, now);
         if (actions.size() > before)
@@ -127,7 +129,7 @@
 
 bool MembershipTracker::mayAct(TimePoint now) const
 {
-    if (!isVoter())
+    if (!isVoter() || selfLife().incarnation == m_abandoned)
         return false;
     const std::set<HostId>& voters = m_fold->voters(m_options.region).current;
     std::size_t acknowledging = 1;
@@ -189,6 +191,9 @@
     if (!m_fold)
         return Offset(0);
     Offset everyone = m_governing;
+    // An evicted host that counts by voters of two changes ago may act until a lease after the change between.
+    if (now - m_earlierVotersFoldedAt < m_options.lease)
+        everyone = Offset(0);
     for (const HostId& id : m_fold->voters(m_options.region).current) {
         const auto it = m_peers.find(id);
         if (id != m_options.self)
@@ -239,7 +244,6 @@
         peer.acknowledgeableAt = now;
         peer.hearsUsAt = now;
     }
-    m_votersFoldedAt = now;
 }
 
 bool MembershipTracker::isDeaf(const Peer& peer, TimePoint now) const
@@ -254,7 +258,7 @@
 
 bool MembershipTracker::isSuspect(const Peer& peer, TimePoint now) const
 {
-    return now - std::max(peer.acknowledgeableAt, m_votersFoldedAt) >= m_options.lease + m_options.suspicionMargin;
+    return now - peer.acknowledgeableAt >= m_options.lease + m_options.suspicionMargin;
 }
 
 void MembershipTracker::endorseEvictions(TimePoint now)
@@ -267,15 +271,21 @@
     }
 }
 
-std::vector<HostId> MembershipTracker::witnesses() const
+VotersProof MembershipTracker::proof() const
 {
-    const RegionVoters& voters = m_fold->voters(m_options.region);
-    std::vector<HostId> hosts { m_options.self };
+    VotersProof proof { .region = m_options.region, .votersChangedAt = m_votersChangedAt, .witnesses = {} };
+    proof.witnesses.push_back(m_options.self);
     for (const auto& [id, peer] : m_peers) {
-        if (peer.report.governing >= voters.changedAt)
-            hosts.push_back(id);
+        if (peer.report.governing >= m_votersChangedAt)
+            proof.witnesses.push_back(id);
     }
-    return hosts;
+    return proof;
+}
+
+bool MembershipTracker::holds(const VotersProof& proof) const
+{
+    const std::set<HostId> hosts(proof.witnesses.begin(), proof.witnesses.end());
+    return isVoter() && isJointMajority(hosts, m_fold->voters(m_options.region));
 }
 
 std::vector<HostId> MembershipTracker::endorsersOf(const HostLife& life, TimePoint now) const
@@ -303,33 +313,42 @@
     return now - since >= delay;
 }
 
+bool MembershipTracker::isTurnFor(bool wanted, std::optional<TimePoint>& wantedSince, TimePoint now) const
+{
+    if (!wanted) {
+        wantedSince.reset();
+        return false;
+    }
+    if (!wantedSince)
+        wantedSince = now;
+    return isTurn(*wantedSince, now);
+}
+
 void MembershipTracker::proposeAdmit(std::vector<TrackerAction>& actions, TimePoint now)
 {
-    AdmitEntry entry { .region = m_options.region, .learners = {}, .witnesses = witnesses() };
+    AdmitEntry entry { .proof = proof(), .learners = {} };
     for (const auto& [id, peer] : m_peers) {
         const Member* member = m_fold->find(id);
         if (member && !member->voter && heardRecently(peer, now) && peer.report.governing >= peer.incarnation)
             entry.learners.push_back({ .host = id, .incarnation = peer.incarnation });
     }
-    const std::set<HostId> folded(entry.witnesses.begin(), entry.witnesses.end());
-    if (!isVoter() || entry.learners.empty() || !isJointMajority(folded, m_fold->voters(m_options.region))) {
-        m_admitWantedSince.reset();
-        return;
-    }
-    if (!m_admitWantedSince)
-        m_admitWantedSince = now;
-    if (isTurn(*m_admitWantedSince, now))
+    const bool confirmed = m_fold->voters(m_options.region).isConfirmed();
+    if (isTurnFor(!entry.learners.empty() && confirmed && holds(entry.proof), m_admitWantedSince, now))
         actions.emplace_back(WriteAdmit { .entry = std::move(entry) });
 }
 
+void MembershipTracker::proposeConfirm(std::vector<TrackerAction>& actions, TimePoint now)
+{
+    ConfirmEntry entry { .proof = proof() };
+    const bool confirmed = m_fold->voters(m_options.region).isConfirmed();
+    if (isTurnFor(!confirmed && holds(entry.proof), m_confirmWantedSince, now))
+        actions.emplace_back(WriteConfirm { .entry = std::move(entry) });
+}
+
 void MembershipTracker::proposeEvict(std::vector<TrackerAction>& actions, TimePoint now)
 {
     const RegionVoters& voters = m_fold->voters(m_options.region);
-    EvictEntry entry { .region = m_options.region,
-        .lives = {},
-        .evidence = EvictEvidence::Endorsed,
-        .endorsers = {},
-        .witnesses = witnesses() };
+    EvictEntry entry { .proof = proof(), .lives = {}, .evidence = EvictEvidence::Endorsed, .endorsers = {} };
     std::optional<std::set<HostId>> common;
     for (const auto& [id, peer] : m_peers) {
         const HostLife life { .host = id, .incarnation = peer.incarnation };
@@ -342,16 +361,10 @@
         entry.lives.push_back(life);
         common = joined;
     }
-    const std::set<HostId> folded(entry.witnesses.begin(), entry.witnesses.end());
-    if (!isVoter() || !common || !isJointMajority(folded, voters)) {
-        m_evictWantedSince.reset();
+    if (!isTurnFor(common && voters.isConfirmed() && holds(entry.proof), m_evictWantedSince, now))
         return;
-    }
     entry.endorsers.assign(common->begin(), common->end());
-    if (!m_evictWantedSince)
-        m_evictWantedSince = now;
-    if (isTurn(*m_evictWantedSince, now))
-        actions.emplace_back(WriteEvict { .entry = std::move(entry) });
+    actions.emplace_back(WriteEvict { .entry = std::move(entry) });
 }
 
 void MembershipTracker::proposeHostListEvict(std::vector<TrackerAction>& actions, TimePoint now)
@@ -365,11 +378,10 @@
         const TimePoint due = missingSince + m_options.hostListPatience;
         if (heard || now < due || !isTurn(due, now))
             continue;
-        actions.emplace_back(WriteEvict { .entry = { .region = m_options.region,
+        actions.emplace_back(WriteEvict { .entry = { .proof = proof(),
                                               .lives = { { .host = id, .incarnation = member->incarnation } },
                                               .evidence = EvictEvidence::HostList,
-                                              .endorsers = {},
-                                              .witnesses = {} } });
+                                              .endorsers = {} } });
     }
 }
 
@@ -394,6 +406,7 @@
     if (now - *m_refusedSince < m_options.rejoinAfter)
         return;
     m_refusedSince.reset();
+    m_abandoned = self.incarnation;
     actions.emplace_back(WriteJoin {});
 }
 
@@ -410,11 +423,12 @@
     report.folded = m_folded;
     report.governing = m_governing;
     report.endorsedEvictions.assign(m_endorsed.begin(), m_endorsed.end());
+    const bool abandoned = self.incarnation == m_abandoned;
     for (const auto& [id, peer] : m_peers) {
         Heartbeat heartbeat { .sender = self,
             .sequence = m_sequence,
             .acknowledgedIncarnation = peer.incarnation,
-            .acknowledgedSequence = peer.acknowledgeable,
+            .acknowledgedSequence = abandoned ? 0 : peer.acknowledgeable,
             .report = report };
         actions.emplace_back(SendHeartbeat { .to = m_fold->find(id)->address, .heartbeat = std::move(heartbeat) });
     }
--- a/src/node/internal/clusterreplica.cpp
+++ b/src/node/internal/clusterreplica.cpp
@@ -355,6 +355,8 @@
             m_socket->send(it->to, it->heartbeat);
         else if (const auto* admit = std::get_if<membership::WriteAdmit>(&action))
             propose(admit->entry);
+        else if (const auto* confirm = std::get_if<membership::WriteConfirm>(&action))
+            propose(confirm->entry);
         else if (const auto* evict = std::get_if<membership::WriteEvict>(&action))
             propose(evict->entry);
         else
