Scenarios for each failure of the members; a deaf host no longer drags others along

Cause: the scenario "a host that hears nobody" never ended: the deaf host endorsed everyone's eviction, which kept the others from calling it deaf, and made each of them join anew. Also, the differential test of the lists' fold showed that a change set which names an item twice was judged differently from the naive fold.

Change: a peer that does not acknowledge for two patience times is deaf whatever it endorses; a host joins anew only where too few acknowledge it to act; a new life starts without the endorsements of the old one. A change set names each item once, or is invalid.

--- a/include/fireflyhaven/membership/membershiptracker.h
+++ b/include/fireflyhaven/membership/membershiptracker.h
@@ -100,6 +100,7 @@
         TimePoint reachedAt;
     };
 
+    void beginNewLife(TimePoint now);
     bool isVoter() const;
     bool heardRecently(const Peer& peer, TimePoint now) const;
     void recordAcknowledgement(Peer& peer, const Heartbeat& heartbeat);
@@ -135,6 +136,7 @@
     TimePoint m_earlierVotersFoldedAt {};
     // The life that this host has asked to replace; it acknowledges nothing any more.
     Incarnation m_abandoned;
+    Incarnation m_ownIncarnation;
     std::map<HostId, Peer> m_peers;
     std::set<HostLife> m_endorsed;
     std::deque<SentHeartbeat> m_sent;
--- a/src/config/internal/configfold.cpp
+++ b/src/config/internal/configfold.cpp
@@ -4,6 +4,7 @@
 #include "listsaccess.h"
 
 #include <algorithm>
+#include <set>
 
 namespace fireflyhaven::config {
 
@@ -137,9 +138,18 @@
     return faults;
 }
 
+bool namesAnItemTwice(const ChangeSet& changes)
+{
+    std::set<std::pair<Collection, std::string>> seen;
+    return std::any_of(changes.begin(), changes.end(),
+        [&](const Change& it) { return !seen.emplace(it.collection, it.key).second; });
+}
+
 // Applies the changes and takes them back where they are at fault.
 ChangeResult tryChanges(Lists& lists, const ChangeSet& changes, Offset offset, bool keep)
 {
+    if (namesAnItemTwice(changes))
+        return { .outcome = ChangeOutcome::Invalid, .faults = { { "$", "each item once" } } };
     for (const Change& it : changes) {
         if (revisionOf(lists, it.collection, it.key) != it.expectedRevision)
             return { .outcome = ChangeOutcome::Conflict,
--- a/src/membership/internal/membershiptracker.cpp
+++ b/src/membership/internal/membershiptracker.cpp
@@ -29,6 +29,8 @@
         m_earlierVotersFoldedAt = m_votersFoldedAt;
         m_votersFoldedAt = now;
     }
+    if (selfLife().incarnation != m_ownIncarnation)
+        beginNewLife(now);
     for (const auto& [id, member] : fold.members()) {
         if (id == m_options.self || member.region != m_options.region)
             continue;
@@ -45,6 +47,15 @@
     noteMajorityProgress(now);
 }
 
+// The endorsements of an earlier life count no more: the change of voters by the join invalidates every eviction record
+// that names them.
+void MembershipTracker::beginNewLife(TimePoint now)
+{
+    m_ownIncarnation = selfLife().incarnation;
+    m_endorsed.clear();
+    forgiveSilence(now);
+}
+
 void MembershipTracker::onHeartbeat(const Heartbeat& heartbeat, TimePoint now)
 {
     const auto it = m_peers.find(heartbeat.sender.host);
@@ -248,10 +259,8 @@
 
 bool MembershipTracker::isDeaf(const Peer& peer, TimePoint now) const
 {
-    const auto& endorsed = peer.report.endorsedEvictions;
-    const bool refusesUs = std::count(endorsed.begin(), endorsed.end(), selfLife()) > 0;
-    const bool waitsForUs = peer.report.governing > m_governing;
-    if (refusesUs || waitsForUs)
+    // A peer that is ahead of this host acknowledges it only once this host has caught up.
+    if (peer.report.governing > m_governing)
         return false;
     return now - peer.hearsUsAt >= (m_options.lease + m_options.suspicionMargin) * 2;
 }
@@ -392,11 +401,8 @@
         actions.emplace_back(WriteJoin {});
         return;
     }
-    bool refused = false;
-    for (const auto& [id, peer] : m_peers) {
-        const auto& endorsed = peer.report.endorsedEvictions;
-        refused = refused || (heardRecently(peer, now) && std::count(endorsed.begin(), endorsed.end(), self) > 0);
-    }
+    // Refused by so many that too few are left to act with.
+    const bool refused = isVoter() && hearsMajority(now) && !mayAct(now);
     if (!refused) {
         m_refusedSince.reset();
         return;
