Tests of each slice; a connection with a wrong key ends, a new workspace starts with an even share

Cause: the slices had no tests of their own. Two of the new ones failed: a peer with another cluster key waited for an answer until its time-out (the server stopped reading without closing), and a workspace of 30 requests a second that appears on three hosts at once was given the whole limit by each until the first heartbeats (over 34.5 a second in a run of 20 s, the stated bound being the limit and 15 %).

Change: both ends shut a connection down when they stop reading; an even share of the limit holds until every host's demand can have been reported.

--- a/include/fireflyhaven/admission/sharedlimiter.h
+++ b/include/fireflyhaven/admission/sharedlimiter.h
@@ -36,6 +36,8 @@
 
 private:
     struct State {
+        // Since when the workspace has been active here.
+        TimePoint activeSince {};
         double tokens = 0;
         TimePoint refilledAt {};
         double demand = 0;
@@ -43,6 +45,7 @@
         int inFlight = 0;
     };
 
+    static double shareOf(const State& state, const OthersDemand& others, int hosts, TimePoint now);
     static double decayedDemand(const State& state, TimePoint now);
 
     std::map<WorkspaceId, State> m_states;
--- a/src/config/internal/configfold.cpp
+++ b/src/config/internal/configfold.cpp
@@ -141,8 +141,8 @@
 bool namesAnItemTwice(const ChangeSet& changes)
 {
     std::set<std::pair<Collection, std::string>> seen;
-    return std::any_of(changes.begin(), changes.end(),
-        [&](const Change& it) { return !seen.emplace(it.collection, it.key).second; });
+    return std::any_of(
+        changes.begin(), changes.end(), [&](const Change& it) { return !seen.emplace(it.collection, it.key).second; });
 }
 
 // Applies the changes and takes them back where they are at fault.
--- /dev/null
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -0,0 +1,150 @@
+#include "fireflyhaven/dispatch/answerassembler.h"
+#include "fireflyhaven/dispatch/concurrencyramp.h"
+#include "fireflyhaven/dispatch/retrybudget.h"
+
+#include <criterion/criterion.h>
+
+using namespace fireflyhaven;
+using namespace fireflyhaven::dispatch;
+
+namespace {
+
+const TimePoint START { Duration(1000) };
+constexpr RampOptions OPTIONS { .coldLimit = 2, .limit = 8 };
+
+// A ramp that has taken over an idle upstream.
+ConcurrencyRamp startedRamp()
+{
+    ConcurrencyRamp ramp(OPTIONS, START);
+    ramp.onLoadReport({ .running = 0, .restarts = 1 }, START + OPTIONS.reportLag);
+    return ramp;
+}
+
+const TimePoint LATER = START + OPTIONS.reportLag;
+
+void answer(ConcurrencyRamp& ramp, int n, Duration firstToken = Duration(100))
+{
+    for (int k = 0; k < n; ++k) {
+        ramp.onSent();
+        ramp.onAnswered(firstToken);
+    }
+}
+
+}
+
+Test(ramp, sendsNothingUntilAReportShowsWhatTheEarlierOwnerLeft)
+{
+    ConcurrencyRamp ramp(OPTIONS, START);
+    cr_assert_eq(ramp.allowance(START), 0);
+    ramp.onLoadReport({ .running = 0, .restarts = 1 }, START + Duration(100));
+    cr_assert_eq(ramp.allowance(START + Duration(100)), 0, "a report this early may predate the takeover");
+    ramp.onLoadReport({ .running = 1, .restarts = 1 }, LATER);
+    cr_assert_eq(ramp.allowance(LATER), 1);
+    ramp.onLoadReport({ .running = 0, .restarts = 1 }, LATER + Duration(100));
+    cr_assert_eq(ramp.allowance(LATER), 2);
+}
+
+Test(ramp, withoutReportsItWaitsForTheLongestRequest)
+{
+    const ConcurrencyRamp ramp(OPTIONS, START);
+    cr_assert_eq(ramp.allowance(START + OPTIONS.longestRequest - Duration(1)), 0);
+    cr_assert_eq(ramp.allowance(START + OPTIONS.longestRequest), 2);
+}
+
+Test(ramp, opensInRoundsAndFallsBackOnSignsOfCold)
+{
+    ConcurrencyRamp ramp = startedRamp();
+    answer(ramp, 2);
+    cr_assert_eq(ramp.currentLimit(), 4);
+    answer(ramp, 4);
+    cr_assert_eq(ramp.currentLimit(), 8);
+    answer(ramp, 40);
+    cr_assert_eq(ramp.currentLimit(), 8);
+    ramp.onSent();
+    ramp.onRefused();
+    cr_assert_eq(ramp.currentLimit(), 2, "a refusal");
+    answer(ramp, 6);
+    cr_assert_eq(ramp.currentLimit(), 8);
+    answer(ramp, 1, Duration(1000));
+    cr_assert_eq(ramp.currentLimit(), 2, "a first token ten times as late as usual");
+    answer(ramp, 6);
+    ramp.onLoadReport({ .running = 0, .restarts = 2 }, LATER);
+    cr_assert_eq(ramp.currentLimit(), 2, "a restart");
+}
+
+Test(ramp, lateReportsNeverRaiseTheAllowance)
+{
+    ConcurrencyRamp ramp = startedRamp();
+    ramp.onSent();
+    ramp.onSent();
+    cr_assert_eq(ramp.allowance(LATER), 0);
+    ramp.onLoadReport({ .running = 0, .restarts = 1 }, LATER);
+    cr_assert_eq(ramp.allowance(LATER), 0);
+}
+
+Test(ramp, newTakeoverStartsFromTheColdLimitAgain)
+{
+    ConcurrencyRamp ramp = startedRamp();
+    answer(ramp, 6);
+    ramp.onTakeover(LATER);
+    cr_assert_eq(ramp.allowance(LATER), 0);
+    ramp.onLoadReport({ .running = 2, .restarts = 1 }, LATER + OPTIONS.reportLag);
+    cr_assert_eq(ramp.allowance(LATER + OPTIONS.reportLag), 0);
+}
+
+Test(retrybudget, halfOfTheUpstreamsFailWithoutAStorm)
+{
+    std::mt19937_64 random(1);
+    RetryBudget budget({});
+    int attempts = 0;
+    constexpr int REQUESTS = 20'000;
+    for (int n = 0; n < REQUESTS; ++n) {
+        budget.onRequest();
+        int made = 1;
+        while (random() % 2 == 0 && budget.take(made))
+            ++made;
+        attempts += made;
+    }
+    cr_assert_lt(static_cast<double>(attempts) / REQUESTS, 1.2);
+    cr_assert_gt(attempts, REQUESTS);
+}
+
+Test(retrybudget, neverRepeatsWhatMayNotBeRepeated)
+{
+    cr_assert(mayAttemptAgain(AttemptEnd::NotRun, false));
+    cr_assert_not(mayAttemptAgain(AttemptEnd::Unknown, false));
+    cr_assert_not(mayAttemptAgain(AttemptEnd::Cancelled, false));
+    cr_assert(mayAttemptAgain(AttemptEnd::Unknown, true));
+}
+
+Test(retrybudget, backoffGrowsWithinItsBounds)
+{
+    std::mt19937_64 random(1);
+    const RetryOptions options;
+    for (int made = 0; made < 40; ++made) {
+        const Duration delay = backoffDelay(options, made, random);
+        cr_assert(delay >= Duration(0) && delay <= options.longestBackoff);
+    }
+}
+
+Test(assembler, dropsPiecesOfOtherRequestsAndAttempts)
+{
+    AnswerAssembler assembler(RequestId("r"));
+    const AttemptId first = assembler.beginAttempt();
+    cr_assert(assembler.accept({ first, 0, "a" }) == "a");
+    cr_assert_not(assembler.accept({ { RequestId("other"), 1 }, 1, "x" }).has_value());
+    const AttemptId second = assembler.beginAttempt();
+    cr_assert_not(assembler.accept({ first, 1, "late" }).has_value());
+    cr_assert_not(assembler.accept({ second, 0, "a" }).has_value(), "a restarted engine repeats it");
+    cr_assert(assembler.accept({ second, 1, "b" }) == "b");
+    cr_assert_eq(assembler.dropped(), 3);
+    cr_assert_not(assembler.hasGap());
+}
+
+Test(assembler, noticesAGap)
+{
+    AnswerAssembler assembler(RequestId("r"));
+    const AttemptId attempt = assembler.beginAttempt();
+    cr_assert_not(assembler.accept({ attempt, 1, "b" }).has_value());
+    cr_assert(assembler.hasGap());
+}
--- a/src/peer/internal/peerclient.cpp
+++ b/src/peer/internal/peerclient.cpp
@@ -169,6 +169,7 @@
         else
             call->onEnd(frame->type == FrameType::End ? CallEnd::Complete : CallEnd::Refused);
     }
+    session.connection->shutdown();
     absl::MutexLock lock(&session.mutex);
     session.broken = true;
     for (auto& [channel, call] : session.calls)
--- a/src/peer/internal/peerserver.cpp
+++ b/src/peer/internal/peerserver.cpp
@@ -106,6 +106,7 @@
             while (std::optional<Frame> frame = m_connection->receive())
                 handle(std::move(*frame));
         }
+        m_connection->shutdown();
         absl::MutexLock lock(&m_shared->mutex);
         for (auto& [number, channel] : m_shared->channels)
             channel->cancel();
