Whole-path tests; a settled offset never goes back, and takeovers begin with the right

Cause: the new whole-path test of cut streams got "no_right_to_send" from an owner that had had the right before: the settled offset was computed anew each time and fell back for a lease after any change of the voters. Looking at it showed a second fault: the daemon counted load reports from when an upstream was assigned, not from when no earlier owner could send, so requests of the earlier owner could be missed.

Change: the settled offset is kept; an owner's takeover begins when its right has come, and until then it reports a limit of 0, so that entry hosts send elsewhere. Tests: nine whole-path tests with hosts, platform and upstreams in one process; scenario hostsThatComeAndGoDoNotInterruptTheOthers.

--- a/include/fireflyhaven/membership/membershiptracker.h
+++ b/include/fireflyhaven/membership/membershiptracker.h
@@ -104,7 +104,9 @@
     bool isVoter() const;
     bool heardRecently(const Peer& peer, TimePoint now) const;
     void recordAcknowledgement(Peer& peer, const Heartbeat& heartbeat);
-    void noteMajorityProgress(TimePoint now);
+    void noteProgress(TimePoint now);
+    // Largest offset that can be seen to be settled now; `settledOffset` never falls behind an earlier one.
+    Offset settledNow(TimePoint now) const;
     Offset majorityOffset() const;
     void forgiveSilence(TimePoint now);
     void endorseEvictions(TimePoint now);
@@ -141,6 +143,7 @@
     std::set<HostLife> m_endorsed;
     std::deque<SentHeartbeat> m_sent;
     std::deque<SettledStep> m_settled;
+    Offset m_settledBefore;
     std::map<HostId, TimePoint> m_missingFromList;
     std::set<HostId> m_seenOnList;
     std::uint64_t m_sequence = 0;
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -46,7 +46,7 @@
 members = state["membership"]["members"].values()
 sys.exit(0 if state["membership"]["may_act"] and all(m["voter"] and m["heard"] for m in members)
          and len(members) == int(sys.argv[1]) and state["ownership"]
-         and all(u["phase"] != "taking_over" for u in state["dispatch"].values()) else 1)' "${#http_of[@]}"; then
+         and all(u["phase"] in ("cold", "warm") for u in state["dispatch"].values()) else 1)' "${#http_of[@]}"; then
             return
         fi
         sleep 0.2
--- a/src/membership/internal/membershiptracker.cpp
+++ b/src/membership/internal/membershiptracker.cpp
@@ -44,7 +44,7 @@
     }
     std::erase_if(m_peers, [&](const auto& it) { return !fold.find(it.first); });
     std::erase_if(m_endorsed, [&](const HostLife& it) { return !fold.isLive(it); });
-    noteMajorityProgress(now);
+    noteProgress(now);
 }
 
 // The endorsements of an earlier life count no more: the change of voters by the join invalidates every eviction record
@@ -72,7 +72,7 @@
         peer.acknowledgeable = heartbeat.sequence;
         peer.acknowledgeableAt = now;
     }
-    noteMajorityProgress(now);
+    noteProgress(now);
 }
 
 void MembershipTracker::recordAcknowledgement(Peer& peer, const Heartbeat& heartbeat)
@@ -185,8 +185,9 @@
     return Offset(0);
 }
 
-void MembershipTracker::noteMajorityProgress(TimePoint now)
+void MembershipTracker::noteProgress(TimePoint now)
 {
+    m_settledBefore = settledOffset(now);
     if (!m_settled.empty() && m_settled.back().offset >= m_governing)
         return;
     const Offset reached = majorityOffset();
@@ -197,7 +198,9 @@
         m_settled.pop_front();
 }
 
-Offset MembershipTracker::settledOffset(TimePoint now) const
+Offset MembershipTracker::settledOffset(TimePoint now) const { return std::max(m_settledBefore, settledNow(now)); }
+
+Offset MembershipTracker::settledNow(TimePoint now) const
 {
     if (!m_fold)
         return Offset(0);
--- a/src/node/internal/ownerexecutor.cpp
+++ b/src/node/internal/ownerexecutor.cpp
@@ -89,8 +89,7 @@
         if (earlier != m_owned.end()) {
             owned.gate = earlier->second.gate;
             owned.gate->setLimits(item->value.coldLimit, item->value.limit);
-            if (earlier->second.since != since)
-                owned.gate->onTakeover();
+            owned.begun = earlier->second.begun && earlier->second.since == since;
         } else {
             const dispatch::RampOptions options { .coldLimit = item->value.coldLimit, .limit = item->value.limit };
             owned.gate = std::make_shared<UpstreamGate>(options, m_clock);
@@ -149,9 +148,10 @@
 {
     const std::string refusal = refusalOf(request);
     const std::optional<Owned> owned = ownedOf(request.upstream);
-    if (!refusal.empty() || !owned) {
-        m_metrics.count("owner_refused_" + (refusal.empty() ? "not_owner" : refusal));
-        receiver(refused(refusal.empty() ? "not_owner" : refusal, "the owner may not send the request"));
+    if (!refusal.empty() || !owned || !owned->begun) {
+        const std::string code = refusal.empty() ? "taking_over" : refusal;
+        m_metrics.count("owner_refused_" + code);
+        receiver(refused(code, "the owner may not send the request"));
         return;
     }
     const TimePoint startBy = m_clock.now() + Duration(request.startWithinMs);
@@ -204,18 +204,49 @@
     receiver(std::move(outcome.last));
 }
 
+std::map<UpstreamId, Offset> OwnerExecutor::sendable() const
+{
+    return m_replica.read([&](const ReplicaState& state) {
+        std::map<UpstreamId, Offset> upstreams;
+        const TimePoint now = m_clock.now();
+        if (!state.tracker.mayAct(now))
+            return upstreams;
+        const Offset settled = state.tracker.settledOffset(now);
+        for (const UpstreamId& id : state.owners.ownedBy(m_settings.host)) {
+            if (settled >= state.owners.ownerSince(id))
+                upstreams[id] = state.owners.ownerSince(id);
+        }
+        return upstreams;
+    });
+}
+
+// Load reports count only from when no earlier owner can send any more: older ones could miss its last requests.
+std::vector<OwnerExecutor::Owned> OwnerExecutor::beginTakeovers()
+{
+    const std::map<UpstreamId, Offset> upstreams = sendable();
+    absl::MutexLock lock(&m_mutex);
+    std::vector<Owned> ready;
+    for (auto& [id, owned] : m_owned) {
+        const auto right = upstreams.find(id);
+        if (right == upstreams.end() || right->second != owned.since)
+            continue;
+        if (!std::exchange(owned.begun, true))
+            owned.gate->onTakeover();
+        ready.push_back(owned);
+    }
+    return ready;
+}
+
 void OwnerExecutor::pollLoop()
 {
     while (true) {
-        std::vector<Owned> owned;
         {
             absl::MutexLock lock(&m_mutex);
             m_mutex.AwaitWithTimeout(absl::Condition(&m_stopping), absl::Milliseconds(LOAD_POLL_INTERVAL.count()));
             if (m_stopping)
                 return;
-            for (const auto& [id, it] : m_owned)
-                owned.push_back(it);
         }
+        const std::vector<Owned> owned = beginTakeovers();
         for (const Owned& it : owned) {
             m_pollers.run([it, &metrics = m_metrics] {
                 const auto report = handleFailure(
@@ -235,10 +266,14 @@
 
 std::vector<membership::UpstreamLoad> OwnerExecutor::loads() const
 {
+    const std::map<UpstreamId, Offset> upstreams = sendable();
     absl::MutexLock lock(&m_mutex);
     std::vector<membership::UpstreamLoad> loads;
-    for (const auto& [id, owned] : m_owned)
+    for (const auto& [id, owned] : m_owned) {
         loads.push_back(owned.gate->load(id));
+        if (!owned.begun || !upstreams.count(id))
+            loads.back().limit = 0;
+    }
     return loads;
 }
 
@@ -248,8 +283,9 @@
     nlohmann::json upstreams = nlohmann::json::object();
     for (const auto& [id, owned] : m_owned) {
         const membership::UpstreamLoad load = owned.gate->load(id);
+        const char* phase = owned.begun ? phaseName(owned.gate->phase()) : "waiting_for_right";
         upstreams[id.value()] = { { "in_flight", load.inFlight }, { "limit", load.limit }, { "queued", load.queued },
-            { "phase", phaseName(owned.gate->phase()) } };
+            { "phase", phase } };
     }
     return upstreams;
 }
--- a/src/node/internal/ownerexecutor.h
+++ b/src/node/internal/ownerexecutor.h
@@ -34,11 +34,17 @@
         Offset since;
         config::Upstream upstream;
         std::shared_ptr<UpstreamGate> gate;
+        // The right to send has been held since the upstream was assigned, and the gate has taken over from then on.
+        bool begun = false;
     };
 
     // Why the attempt may not be sent now; empty where it may.
     std::string refusalOf(const dispatch::RunRequest& request) const;
     std::optional<Owned> ownedOf(const UpstreamId& upstream) const;
+    // Upstreams that this host has the right to send to now, and since when it owns them.
+    std::map<UpstreamId, Offset> sendable() const;
+    // Starts the takeover of upstreams whose right has come; returns those to poll.
+    std::vector<Owned> beginTakeovers();
     void send(const config::Upstream& upstream, UpstreamGate& gate, const dispatch::RunRequest& request,
         const platform::RunEventReceiver& receiver, const http::Cancelled& cancelled);
     void pollLoop();
--- a/src/routing/internal/sessionpin.cpp
+++ b/src/routing/internal/sessionpin.cpp
@@ -49,9 +49,10 @@
     constexpr std::size_t LONGEST_HANDLE = 1024;
     if (handle.size() > LONGEST_HANDLE)
         return failure(ErrorCode::Unauthenticated, "the session handle is too long");
-    BOOST_LEAF_AUTO(bytes, fromBase64Url(handle));
-    if (bytes.size() <= MAC_SIZE)
-        return failure(ErrorCode::Unauthenticated, "the session handle is too short");
+    const Result<std::string> decoded = fromBase64Url(handle);
+    if (!decoded || decoded.value().size() <= MAC_SIZE)
+        return failure(ErrorCode::Unauthenticated, "the session handle can't be read");
+    const std::string& bytes = decoded.value();
     const std::string body = bytes.substr(0, bytes.size() - MAC_SIZE);
     if (!macMatches(body, std::string_view(bytes).substr(body.size())))
         return failure(ErrorCode::Unauthenticated, "the session handle was not issued here");
--- a/tests/coordination/scenarios_test.cpp
+++ b/tests/coordination/scenarios_test.cpp
@@ -106,6 +106,21 @@
     assertKept(cluster);
 }
 
+Test(scenarios, hostsThatComeAndGoDoNotInterruptTheOthers)
+{
+    FakeCluster cluster = startedCluster();
+    const std::size_t owner = ownerOf(cluster, UPSTREAM);
+    // A host of another data centre restarts, so this upstream keeps its owner.
+    for (int n = 0; n < 3; ++n) {
+        cluster.restart(8);
+        for (const TimePoint end = cluster.now() + Duration(9000); cluster.now() < end;) {
+            cluster.step();
+            cr_assert(cluster.hasRight(cluster.host(owner), UPSTREAM), "interrupted in round %d", n);
+        }
+    }
+    assertKept(cluster);
+}
+
 Test(scenarios, dataCentreGoneOfThree)
 {
     FakeCluster cluster = startedCluster();
--- /dev/null
+++ b/tests/whole/whole_test.cpp
@@ -0,0 +1,304 @@
+#include "localcluster.h"
+
+#include <algorithm>
+#include <thread>
+
+#include <criterion/criterion.h>
+
+using namespace fireflyhaven;
+using namespace fireflyhaven::tests;
+
+namespace {
+
+using nlohmann::json;
+
+std::string contentOf(const http::CallOutcome& outcome)
+{
+    return LocalCluster::bodyOf(outcome)["choices"][0]["message"]["content"].get<std::string>();
+}
+
+// Text of a streamed answer; "[DONE]" and errors are put at its end.
+std::string streamedText(const std::string& body)
+{
+    std::string text;
+    std::size_t at = 0;
+    while ((at = body.find("data: ", at)) != std::string::npos) {
+        const std::size_t end = body.find("\n\n", at);
+        const std::string line = body.substr(at + 6, end - at - 6);
+        at = end;
+        const json event = json::parse(line, nullptr, false);
+        if (event.is_discarded())
+            text += line;
+        else if (event.contains("error"))
+            text += "error " + event["error"].dump();
+        else
+            text += event["choices"][0]["delta"].value("content", "");
+    }
+    return text;
+}
+
+void assertText(const std::string& actual, const std::string& expected)
+{
+    cr_assert(actual == expected, "%s instead of %s", actual.c_str(), expected.c_str());
+}
+
+void assertRefusal(const http::CallOutcome& outcome, int status, const std::string& code, const std::string& run)
+{
+    cr_assert_eq(outcome.response.status, status, "%s", outcome.response.body.c_str());
+    const json body = LocalCluster::bodyOf(outcome);
+    assertText(body["code"], code);
+    assertText(body["run"], run);
+}
+
+}
+
+Test(whole, badInputIsRefusedAndNothingIsSentOn)
+{
+    LocalCluster cluster(1, 1);
+    const std::vector<json> bodies { "", "{", "[]", "null", "{\"model\":1}", "{\"model\":\"auto\"}",
+        "{\"model\":\"auto\",\"messages\":[]}", "{\"model\":\"auto\",\"messages\":[1]}",
+        "{\"model\":\"auto\",\"messages\":[{\"role\":\"user\"}]}",
+        "{\"model\":\"auto\",\"messages\":[{\"role\":\"user\",\"content\":5}]}",
+        "{\"model\":\"auto\",\"max_tokens\":-1,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}",
+        "{\"model\":\"auto\",\"max_tokens\":1e99,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}",
+        "{\"model\":\"auto\",\"stream\":\"yes\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}" };
+    for (const json& body : bodies)
+        assertRefusal(cluster.chat(0, body), 400, "bad_request", "not_run");
+    std::string good = LocalCluster::chatBody().dump();
+    for (std::size_t n = 0; n + 1 < good.size(); n += 5)
+        assertRefusal(cluster.chat(0, good.substr(0, n)), 400, "bad_request", "not_run");
+    assertRefusal(cluster.chat(0, LocalCluster::chatBody(), { { "Authorization", "Bearer wrong" } }), 401,
+        "unauthenticated", "not_run");
+    assertRefusal(
+        cluster.chat(0, LocalCluster::chatBody(), { { "X-Deadline-Ms", "soon" } }), 400, "bad_request", "not_run");
+    assertRefusal(cluster.chat(0, LocalCluster::chatBody(), { { "X-Request-Id", std::string(500, 'x') } }), 400,
+        "bad_request", "not_run");
+    assertRefusal(
+        cluster.chat(0, LocalCluster::chatBody(), { { "X-Task", "unknown" } }), 403, "not_allowed", "not_run");
+    assertRefusal(cluster.chat(0, LocalCluster::chatBody(), { { "X-Session", "forged" } }), 401,
+        "session_unauthenticated", "not_run");
+    json forbidden = LocalCluster::chatBody();
+    forbidden["model"] = "small";
+    assertRefusal(cluster.chat(0, forbidden), 403, "not_allowed", "not_run");
+    json large = LocalCluster::chatBody();
+    large["messages"][0]["content"] = std::string(2 * 1024 * 1024, 'x');
+    assertRefusal(cluster.chat(0, large), 413, "too_large", "not_run");
+    assertRefusal(cluster.call(0, "renewal/charge", ""), 400, "idempotency_key_required", "not_run");
+    assertRefusal(cluster.call(0, "renewal/charge", "k"), 400, "idempotency_key_required", "not_run");
+    assertRefusal(cluster.call(0, "other/charge", LocalCluster::freshKey("k")), 403, "not_allowed", "not_run");
+    assertRefusal(cluster.call(0, "renewal/charge", "1500000000000-k"), 410, "expired", "unknown");
+    cr_assert_eq(cluster.engineRequests(), 0);
+    cr_assert_eq(cluster.chat(0, LocalCluster::chatBody()).response.status, 200);
+    cr_assert_eq(cluster.engineRequests(), 1, "the count sees a request");
+}
+
+Test(whole, answersAreWholeThoughEnginesCutCrossAndMisname)
+{
+    LocalCluster cluster(2, 2);
+    const std::string whole = "w0 w1 w2 w3 w4 w5 w6 w7 ";
+    for (const std::string engine : { "large0", "large1" })
+        cluster.upstreamFault(engine, { { "cutAfter", 3 }, { "cutStreams", 1 } });
+    const auto cut = cluster.chat(0, LocalCluster::chatBody(true, 8));
+    assertText(streamedText(cut.response.body), whole + "[DONE]");
+    assertText(contentOf(cluster.chat(1, LocalCluster::chatBody(false, 8))), whole);
+
+    for (const std::string engine : { "large0", "large1" })
+        cluster.upstreamFault(engine, { { "crossed", true }, { "cutAfter", 0 } });
+    const auto crossed = cluster.chat(0, LocalCluster::chatBody(true, 8));
+    cr_assert_eq(streamedText(crossed.response.body).find("w0"), std::string::npos, "nothing of another request");
+    cr_assert_eq(crossed.response.body.find("[DONE]"), std::string::npos);
+
+    for (const std::string engine : { "large0", "large1" })
+        cluster.upstreamFault(engine, { { "crossed", false }, { "wrongVersion", "large@7" } });
+    cr_assert_gt(cluster.chat(0, LocalCluster::chatBody(false, 8)).response.status, 499);
+    const auto misnamed = cluster.chat(0, LocalCluster::chatBody(true, 8));
+    cr_assert_eq(misnamed.response.body.find("[DONE]"), std::string::npos, "a part is not marked as whole");
+    cr_assert_neq(misnamed.response.body.find("\"error\""), std::string::npos);
+}
+
+Test(whole, versionsThatAreTakenBackGetNoNewWork)
+{
+    LocalCluster cluster(3, 2);
+    const http::Headers tag { { "X-Task", "tag" } };
+    const auto first = cluster.chat(0, LocalCluster::chatBody(), tag);
+    assertText(first.response.headers.at("x-model-version"), "small@1");
+    const http::Headers session { { "X-Task", "tag" }, { "X-Session", first.response.headers.at("x-session") } };
+    cluster.act(0, "retire", "versions", "small@1");
+    const auto pinned = cluster.chat(1, LocalCluster::chatBody(), session);
+    assertText(pinned.response.headers.at("x-model-version"), "small@1");
+    const auto fresh = cluster.chat(1, LocalCluster::chatBody(), tag);
+    assertText(fresh.response.headers.at("x-model-version"), "large@1");
+    cluster.act(1, "withdraw", "versions", "small@1");
+    const std::uint64_t before = cluster.upstreamStats("small0")["requests"].get<std::uint64_t>()
+        + cluster.upstreamStats("small1")["requests"].get<std::uint64_t>();
+    assertRefusal(cluster.chat(0, LocalCluster::chatBody(), session), 409, "version_withdrawn", "not_run");
+    for (int n = 0; n < 10; ++n)
+        cr_assert_eq(cluster.chat(n % 2, LocalCluster::chatBody(), tag).response.status, 200);
+    const std::uint64_t after = cluster.upstreamStats("small0")["requests"].get<std::uint64_t>()
+        + cluster.upstreamStats("small1")["requests"].get<std::uint64_t>();
+    cr_assert_eq(before, after);
+}
+
+Test(whole, badVersionIsSuspendedEverywhereAlsoWithoutTheLog)
+{
+    LocalCluster cluster(4, 2);
+    for (const std::string engine : { "small0", "small1" })
+        cluster.upstreamFault(engine, { { "badShare", { { "small@1", 1.0 } } } });
+    const http::Headers tag { { "X-Task", "tag" } };
+    const auto isSuspended = [&](int host) {
+        json body = LocalCluster::chatBody();
+        body["model"] = "small";
+        return cluster.chat(host, body, tag).response.status == 409;
+    };
+    cr_assert(LocalCluster::eventually([&] { return isSuspended(0); }));
+    cr_assert(LocalCluster::eventually([&] { return isSuspended(1); }, Duration(5000)));
+    cluster.act(1, "reinstate", "versions", "small@1");
+    cr_assert_not(isSuspended(0));
+}
+
+Test(whole, cascadeReplacesABadAnswerBeforeItLeaves)
+{
+    LocalCluster cluster(9, 1);
+    json versions = LocalCluster::bodyOf(cluster.admin(0, "GET", "/admin/v1/config/versions"));
+    versions["small@1"]["assumed_quality"] = 0.7;
+    cluster.admin(0, "PUT", "/admin/v1/config/versions", versions);
+    const http::Headers tag { { "X-Task", "tag" } };
+    assertText(cluster.chat(0, LocalCluster::chatBody(), tag).response.headers.at("x-model-version"), "small@1");
+    cluster.upstreamFault("small0", { { "badShare", { { "small@1", 1.0 } } } });
+    const auto replaced = cluster.chat(0, LocalCluster::chatBody(), tag);
+    assertText(replaced.response.headers.at("x-model-version"), "large@1");
+    cr_assert_eq(contentOf(replaced).find("[bad]"), std::string::npos);
+    cluster.platformFault({ { "ratingsPerSecond", 1 } });
+    for (int n = 0; n < 5; ++n)
+        cr_assert_eq(contentOf(cluster.chat(0, LocalCluster::chatBody(), tag)).find("[bad]"), std::string::npos);
+}
+
+Test(whole, callThatMayRunOnceRunsOnce)
+{
+    LocalCluster cluster(5, 2);
+    const std::string key = LocalCluster::freshKey("march");
+    std::vector<std::thread> callers;
+    std::vector<http::CallOutcome> outcomes(8);
+    for (std::size_t n = 0; n < outcomes.size(); ++n)
+        callers.emplace_back([&, n] { outcomes[n] = cluster.call(static_cast<int>(n % 2), "renewal/charge", key); });
+    for (std::thread& it : callers)
+        it.join();
+    for (const http::CallOutcome& it : outcomes) {
+        cr_assert_eq(it.response.status, 200, "%s", it.response.body.c_str());
+        cr_assert_eq(LocalCluster::bodyOf(it)["ran"].get<int>(), 1);
+    }
+    assertRefusal(cluster.call(0, "renewal/charge", key, "{\"other\":1}"), 422, "key_reused", "not_run");
+
+    const std::string lost = LocalCluster::freshKey("lost");
+    for (const std::string service : { "renewal0", "renewal1" })
+        cluster.upstreamFault(service, { { "loseAnswers", 1 } });
+    assertRefusal(cluster.call(0, "renewal/charge", lost), 409, "outcome_unknown", "unknown");
+    for (const std::string service : { "renewal0", "renewal1" })
+        cluster.upstreamFault(service, { { "loseAnswers", 0 } });
+    assertRefusal(cluster.call(1, "renewal/charge", lost), 409, "outcome_unknown", "unknown");
+
+    const std::string unanswered = LocalCluster::freshKey("unanswered");
+    cluster.platformFault({ { "loseAnswers", 2 } });
+    cr_assert_eq(cluster.call(0, "renewal/charge", unanswered).response.status, 200, "the claim is found in the log");
+    cr_assert_eq(LocalCluster::bodyOf(cluster.call(1, "renewal/charge", unanswered))["ran"].get<int>(), 1);
+
+    const std::string unclaimed = LocalCluster::freshKey("unclaimed");
+    cluster.platformFault({ { "down", true } });
+    assertRefusal(cluster.call(0, "renewal/charge", unclaimed), 503, "log_unavailable", "not_run");
+    cluster.platformFault({ { "down", false } });
+    cr_assert(LocalCluster::eventually([&] { return cluster.state(0)["log"]["reachable"].get<bool>(); }));
+    cr_assert(
+        LocalCluster::eventually([&] { return cluster.call(1, "renewal/charge", unclaimed).response.status == 200; }));
+    cr_assert_eq(LocalCluster::bodyOf(cluster.call(0, "renewal/charge", unclaimed))["ran"].get<int>(), 1);
+}
+
+Test(whole, eachRequestIsBilledOnceAlsoAcrossAnOutageAndADeath)
+{
+    LocalCluster cluster(6, 3);
+    const http::Headers same { { "X-Request-Id", "request-1" } };
+    cluster.chat(0, LocalCluster::chatBody(), same);
+    cluster.chat(1, LocalCluster::chatBody(), same);
+    cr_assert(LocalCluster::eventually([&] { return cluster.bills(2)["repeats_ignored"] == 1; }));
+    cr_assert_eq(cluster.bills(2)["requests"].get<int>(), 1);
+
+    cluster.platformFault({ { "down", true } });
+    for (int n = 0; n < 5; ++n) {
+        const auto answer
+            = cluster.chat(0, LocalCluster::chatBody(), { { "X-Request-Id", "outage-" + std::to_string(n) } });
+        cr_assert_eq(answer.response.status, 200, "service goes on without the log: %s", answer.response.body.c_str());
+    }
+    cr_assert_eq(cluster.state(0)["counters"].value("bills_released_unsafe", 0), 0);
+    cluster.killHost(0);
+    cluster.platformFault({ { "down", false } });
+    cr_assert(LocalCluster::eventually([&] { return cluster.bills(2)["requests"] == 6; }),
+        "peers append the bills of the dead host");
+}
+
+Test(whole, shutdownCutsNoRequestAndDataCentreLeavesAndReturns)
+{
+    LocalCluster cluster(7, 3);
+    cluster.act(0, "drain", "data_centres", "dc1");
+    const auto moved = cluster.chat(1, LocalCluster::chatBody());
+    cr_assert_eq(moved.response.status, 307);
+    cr_assert_neq(moved.response.headers.at("location").find("/v1/chat/completions"), std::string::npos);
+    cr_assert_eq(LocalCluster::bodyOf(cluster.get(0, "/v1/addresses"))["addresses"].size(), 2);
+    const std::uint64_t before = cluster.upstreamStats("large1")["requests"].get<std::uint64_t>();
+    for (int n = 0; n < 20; ++n)
+        cr_assert_eq(cluster.chat(n % 2 * 2, LocalCluster::chatBody()).response.status, 200);
+    cr_assert_eq(cluster.upstreamStats("large1")["requests"].get<std::uint64_t>(), before);
+    cluster.act(2, "restore", "data_centres", "dc1");
+    cr_assert_eq(cluster.chat(1, LocalCluster::chatBody()).response.status, 200);
+
+    std::vector<std::string> bodies(6);
+    std::vector<std::thread> callers;
+    for (std::size_t n = 0; n < bodies.size(); ++n)
+        callers.emplace_back([&, n] { bodies[n] = cluster.chat(0, LocalCluster::chatBody(true, 1500)).response.body; });
+    cr_assert(LocalCluster::eventually([&] { return cluster.state(0)["host"]["callers"] == 6; }));
+    cluster.shutDownHost(0);
+    for (std::thread& it : callers)
+        it.join();
+    for (const std::string& body : bodies)
+        cr_assert(streamedText(body).ends_with("w1499 [DONE]"), "%zu bytes", body.size());
+    cr_assert(LocalCluster::eventually([&] { return cluster.state(1)["membership"]["members"].size() == 2; }));
+    cr_assert(
+        LocalCluster::eventually([&] { return cluster.chat(2, LocalCluster::chatBody()).response.status == 200; }));
+}
+
+Test(whole, settingsOfOperatorsAreCheckedAndNeverRevert)
+{
+    LocalCluster cluster(8, 2);
+    cr_assert_eq(cluster.get(0, "/admin/v1/state").response.status, 401);
+    json lists = LocalCluster::bodyOf(cluster.admin(0, "GET", "/admin/v1/config"));
+    json wrong = lists;
+    wrong["plans"]["p"]["quality_target"] = 7;
+    wrong["upstreams"]["large0"]["limit"] = -1;
+    const auto refused = cluster.admin(0, "PUT", "/admin/v1/config", wrong);
+    cr_assert_eq(refused.response.status, 422);
+    cr_assert_eq(LocalCluster::bodyOf(refused)["faults"].size(), 2);
+
+    // Operators race through two hosts; each change that was accepted is in force everywhere.
+    std::vector<std::thread> operators;
+    std::atomic<int> accepted { 0 };
+    for (int n = 0; n < 6; ++n) {
+        operators.emplace_back([&, n] {
+            json mine = lists;
+            mine["plans"]["p"]["weight"] = n + 2;
+            accepted
+                += cluster.admin(n % 2, "PUT", "/admin/v1/config/plans?wait=in_force", mine["plans"]).response.status
+                == 200;
+        });
+    }
+    for (std::thread& it : operators)
+        it.join();
+    cr_assert_geq(accepted.load(), 1);
+    const json a = LocalCluster::bodyOf(cluster.admin(0, "GET", "/admin/v1/config"));
+    const json b = LocalCluster::bodyOf(cluster.admin(1, "GET", "/admin/v1/config"));
+    cr_assert(a == b);
+    cr_assert_neq(a["plans"]["p"]["weight"].get<int>(), 1);
+
+    cluster.platformFault({ { "down", true } });
+    lists["plans"]["p"]["weight"] = 77;
+    cr_assert_gt(cluster.admin(0, "PUT", "/admin/v1/config/plans", lists["plans"]).response.status, 499);
+    cr_assert(
+        LocalCluster::bodyOf(cluster.admin(1, "GET", "/admin/v1/config")) == a, "nothing is accepted without the log");
+}
