--- a/include/fireflyhaven/cluster/types/record.h
+++ b/include/fireflyhaven/cluster/types/record.h
@@ -19,9 +19,9 @@
     nlohmann::json state;
 };
 
-using Entry = std::variant<ConfigEntry, membership::JoinEntry, membership::AdmitEntry, membership::ConfirmEntry, membership::LeaveEntry,
-    membership::EvictEntry, idempotency::ClaimEntry, idempotency::ResultEntry, quality::RatingsEntry,
-    quality::SuspendEntry, SnapshotEntry>;
+using Entry = std::variant<ConfigEntry, membership::JoinEntry, membership::AdmitEntry, membership::ConfirmEntry,
+    membership::LeaveEntry, membership::EvictEntry, idempotency::ClaimEntry, idempotency::ResultEntry,
+    quality::RatingsEntry, quality::SuspendEntry, SnapshotEntry>;
 
 // Identifies a record: a writer numbers its records from 1 and sends the next only after it has seen the last in the
 // log, so that a second copy of a record is known by its number.
--- a/include/fireflyhaven/membership/membershipfold.h
+++ b/include/fireflyhaven/membership/membershipfold.h
@@ -6,8 +6,8 @@
 
 namespace fireflyhaven::membership {
 
-// Voters of one region: the present set, and the set before a change that is not confirmed yet, by which a late host may
-// still count. Both are the same while no change is under way.
+// Voters of one region: the present set, and the set before a change that is not confirmed yet, by which a late host
+// may still count. Both are the same while no change is under way.
 struct RegionVoters {
     std::set<HostId> current;
     std::set<HostId> previous;
--- a/include/fireflyhaven/membership/types/entries.h
+++ b/include/fireflyhaven/membership/types/entries.h
@@ -39,8 +39,8 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HostLife, host, incarnation)
 
-// Shows that a change of the voters is known to enough hosts for the next step: `witnesses` have folded the change of the
-// region's voters at `votersChangedAt`.
+// Shows that a change of the voters is known to enough hosts for the next step: `witnesses` have folded the change of
+// the region's voters at `votersChangedAt`.
 struct VotersProof {
     RegionId region;
     Offset votersChangedAt;
--- a/include/fireflyhaven/peer/peerserver.h
+++ b/include/fireflyhaven/peer/peerserver.h
@@ -32,7 +32,8 @@
 // Serves calls of other hosts over TCP.
 class PeerServer {
 public:
-    static Result<std::unique_ptr<PeerServer>> start(PeerServerOptions options, SecretKey key, CallHandler handler);
+    static Result<std::unique_ptr<PeerServer>> start(
+        const PeerServerOptions& options, SecretKey key, CallHandler handler);
     virtual ~PeerServer() = default;
     virtual std::size_t runningCalls() const = 0;
 };
--- a/src/admission/internal/admissionqueue.cpp
+++ b/src/admission/internal/admissionqueue.cpp
@@ -60,8 +60,8 @@
             for (auto it = lane.requests.begin(); it != end; it = lane.requests.erase(it))
                 expired.push_back(it->second.id);
         }
-        std::erase_if(level,
-            [&](const auto& it) { return it.second.requests.empty() && it.second.finish <= m_virtualTime[priority]; });
+        const double time = m_virtualTime[priority];
+        std::erase_if(level, [time](const auto& it) { return it.second.requests.empty() && it.second.finish <= time; });
     }
     m_size -= expired.size();
     return expired;
--- a/src/billing/internal/billholder.cpp
+++ b/src/billing/internal/billholder.cpp
@@ -22,6 +22,7 @@
     std::sort(ranked.begin(), ranked.end(), [&](const PeerHost& a, const PeerHost& b) { return rank(a) < rank(b); });
     ranked.resize(std::min(ranked.size(), m_options.copies));
     std::vector<HostId> hosts;
+    hosts.reserve(ranked.size());
     for (const PeerHost& it : ranked)
         hosts.push_back(it.host);
     m_own[key] = { .bill = std::move(bill), .copies = {} };
--- a/src/config/internal/configfold.cpp
+++ b/src/config/internal/configfold.cpp
@@ -208,8 +208,9 @@
 ChangeSet diffLists(const Lists& current, const nlohmann::json& document)
 {
     ChangeSet changes;
-    for (const auto& [name, items] : document.items()) {
-        const std::optional<Collection> collection = collectionFromName(name);
+    for (const auto& named : document.items()) {
+        const std::optional<Collection> collection = collectionFromName(named.key());
+        const nlohmann::json& items = named.value();
         if (!collection)
             continue;
         visitCollection(current, *collection, [&](const auto& map) {
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -109,7 +109,7 @@
     Transfer transfer { .handle = handle, .receiver = receiver, .cancelled = cancelled };
     curl_slist* headers = curl_slist_append(nullptr, "Expect:");
     for (const auto& [name, value] : call.headers)
-        headers = curl_slist_append(headers, (name + ": " + value).c_str());
+        headers = curl_slist_append(headers, std::string(name).append(": ").append(value).c_str());
     curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -6,7 +6,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <cstring>
 
 namespace fireflyhaven::http {
 
@@ -59,7 +58,7 @@
         }
     }
     const std::size_t n = std::min(max, state.rest.size() - state.used);
-    std::memcpy(buf, state.rest.data() + state.used, n);
+    std::copy_n(state.rest.data() + state.used, n, buf);
     state.used += n;
     return static_cast<ssize_t>(n);
 }
--- a/src/membership/internal/membershiptracker.cpp
+++ b/src/membership/internal/membershiptracker.cpp
@@ -230,6 +230,7 @@
     }
     std::sort(ahead.rbegin(), ahead.rend());
     std::vector<HostId> hosts;
+    hosts.reserve(ahead.size());
     for (const auto& [offset, id] : ahead)
         hosts.push_back(id);
     return hosts;
--- a/src/node/internal/billingservice.cpp
+++ b/src/node/internal/billingservice.cpp
@@ -49,7 +49,7 @@
     return m_holder.accepting();
 }
 
-void BillingService::settle(billing::Bill bill)
+void BillingService::settle(const billing::Bill& bill)
 {
     const std::string key = bill.key();
     const std::vector<billing::PeerHost> peers = livePeers();
--- a/src/node/internal/billingservice.h
+++ b/src/node/internal/billingservice.h
@@ -20,7 +20,7 @@
     // False where too many bills wait for the log; no new request is taken then.
     bool accepting() const;
     // Returns once the bill is in the log or copied, or the patience for both has run out.
-    void settle(billing::Bill bill);
+    void settle(const billing::Bill& bill);
     void storeCopy(const HostId& holder, const billing::Bill& bill);
     void releaseCopies(const HostId& holder, const std::vector<std::string>& keys);
     void onMemberGone(const HostId& host);
--- a/src/node/internal/chatservice.cpp
+++ b/src/node/internal/chatservice.cpp
@@ -102,9 +102,9 @@
 
 }
 
-ChatService::ChatService(Gatekeeper& gatekeeper, routing::SessionSigner signer)
+ChatService::ChatService(Gatekeeper& gatekeeper, const routing::SessionSigner& signer)
     : m_gatekeeper(gatekeeper)
-    , m_signer(std::move(signer))
+    , m_signer(signer)
 {
 }
 
--- a/src/node/internal/chatservice.h
+++ b/src/node/internal/chatservice.h
@@ -18,7 +18,7 @@
 // Serves POST /v1/chat/completions: chooses models and versions, runs the cascade, bills, answers.
 class ChatService {
 public:
-    ChatService(Gatekeeper& gatekeeper, routing::SessionSigner signer);
+    ChatService(Gatekeeper& gatekeeper, const routing::SessionSigner& signer);
 
     http::Response handle(const http::Request& request);
 
--- a/src/peer/internal/peerserver.cpp
+++ b/src/peer/internal/peerserver.cpp
@@ -204,7 +204,8 @@
 
 }
 
-Result<std::unique_ptr<PeerServer>> PeerServer::start(PeerServerOptions options, SecretKey key, CallHandler handler)
+Result<std::unique_ptr<PeerServer>> PeerServer::start(
+    const PeerServerOptions& options, SecretKey key, CallHandler handler)
 {
     const std::string name = options.ip + ":" + std::to_string(options.port);
     sockaddr_in address {};
--- a/src/standin/internal/upstreamstandin.cpp
+++ b/src/standin/internal/upstreamstandin.cpp
@@ -88,7 +88,8 @@
 private:
     void pace()
     {
-        const auto tokens = static_cast<double>(m_request.prompt.size() / CHARACTERS_PER_TOKEN);
+        const std::size_t promptTokens = m_request.prompt.size() / CHARACTERS_PER_TOKEN;
+        const auto tokens = static_cast<double>(promptTokens);
         const double prefill = m_cacheHit ? 0 : tokens * m_behaviour.prefillMsPerToken;
         const double ms = m_sent == 0 ? m_behaviour.firstTokenMs + prefill : m_behaviour.tokenMs;
         absl::SleepFor(absl::Microseconds(static_cast<std::int64_t>(ms * 1000)));
