--- a/include/fireflyhaven/common/types/strongid.h
+++ b/include/fireflyhaven/common/types/strongid.h
@@ -25,22 +25,30 @@
     {
         return H::combine(std::move(h), id.m_value);
     }
-    template <typename Archive> void serialize(Archive& archive) { archive(m_value); }
+    // On the wire the length takes two bytes.
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        auto n = static_cast<std::uint16_t>(m_value.size());
+        archive(n);
+        m_value.resize(n);
+        for (char& c : m_value)
+            archive(c);
+    }
 
 private:
     std::string m_value;
 };
 
 // Whole number whose tag keeps quantities of different kinds from being mixed up.
-template <typename Tag> class StrongNumber {
+template <typename Tag, typename Number = std::uint64_t> class StrongNumber {
 public:
     constexpr StrongNumber() = default;
-    constexpr explicit StrongNumber(std::uint64_t value)
+    constexpr explicit StrongNumber(Number value)
         : m_value(value)
     {
     }
 
-    constexpr std::uint64_t value() const { return m_value; }
+    constexpr Number value() const { return m_value; }
     constexpr StrongNumber next() const { return StrongNumber(m_value + 1); }
 
     friend constexpr auto operator<=>(const StrongNumber&, const StrongNumber&) = default;
@@ -52,7 +60,9 @@
     template <typename Archive> void serialize(Archive& archive) { archive(m_value); }
 
 private:
-    std::uint64_t m_value = 0;
+    Number m_value = 0;
 };
 
+template <typename Tag> using StrongNumber32 = StrongNumber<Tag, std::uint32_t>;
+
 }
--- a/include/fireflyhaven/membership/types/heartbeat.h
+++ b/include/fireflyhaven/membership/types/heartbeat.h
@@ -3,31 +3,47 @@
 #include "fireflyhaven/membership/types/entries.h"
 #include "fireflyhaven/quality/types/entries.h"
 
+#include <algorithm>
+
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
 namespace fireflyhaven::membership {
 
+// Short form of an upstream's or workspace's id, as heartbeats carry it.
+using ShortId = StrongNumber32<struct ShortTag>;
+ShortId shortIdOf(const std::string& id);
+
 // Load of an upstream as its owner sees it.
 struct UpstreamLoad {
-    UpstreamId upstream;
-    std::uint32_t inFlight = 0;
-    // Most requests that the owner sends at once now.
-    std::uint32_t limit = 0;
-    std::uint32_t queued = 0;
+    ShortId upstream;
+    std::uint16_t inFlight = 0;
+    // Most requests that the owner sends at once now; 0 while it has no right to send.
+    std::uint16_t limit = 0;
+    std::uint16_t queued = 0;
 
     template <typename Archive> void serialize(Archive& archive) { archive(upstream, inFlight, limit, queued); }
 };
 
-// Requests a second that a workspace offers at one host.
+// Demand that a workspace shows at one host.
 struct WorkspaceDemand {
-    WorkspaceId workspace;
-    float requestsPerSecond = 0;
-    std::uint32_t inFlight = 0;
+    ShortId workspace;
+    std::uint16_t requestsPerSecond = 0;
+    std::uint16_t inFlight = 0;
 
     template <typename Archive> void serialize(Archive& archive) { archive(workspace, requestsPerSecond, inFlight); }
 };
 
+// A vector of at most 255 elements, whose length takes one byte.
+template <typename Archive, typename T> void serializeShort(Archive& archive, std::vector<T>& items)
+{
+    auto n = static_cast<std::uint8_t>(std::min<std::size_t>(items.size(), UINT8_MAX));
+    archive(n);
+    items.resize(n);
+    for (T& it : items)
+        archive(it);
+}
+
 // What a host tells about itself and its decisions; the same for every recipient.
 struct HostReport {
     Offset folded;
@@ -38,12 +54,17 @@
     // Lives that the sender no longer acknowledges.
     std::vector<HostLife> endorsedEvictions;
     std::vector<quality::SuspendEntry> suspensions;
+    // A part of the sender's loads and demands; the parts take turns.
     std::vector<UpstreamLoad> loads;
     std::vector<WorkspaceDemand> demands;
 
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(folded, governing, logReachable, draining, endorsedEvictions, suspensions, loads, demands);
+        archive(folded, governing, logReachable, draining);
+        serializeShort(archive, endorsedEvictions);
+        serializeShort(archive, suspensions);
+        serializeShort(archive, loads);
+        serializeShort(archive, demands);
     }
 };
 
--- a/include/fireflyhaven/routing/upstreampicker.h
+++ b/include/fireflyhaven/routing/upstreampicker.h
@@ -10,6 +10,8 @@
 // An upstream that may take a request, as seen by this entry host.
 struct UpstreamOption {
     UpstreamId upstream;
+    // stableHash of the id.
+    std::uint64_t hash = 0;
     bool sameDataCentre = false;
     std::uint32_t inFlight = 0;
     std::uint32_t limit = 1;
--- a/src/membership/internal/membershiptracker.cpp
+++ b/src/membership/internal/membershiptracker.cpp
@@ -11,6 +11,19 @@
 constexpr int KEPT_LEASES = 2;
 // Ticks further apart than this many heartbeat intervals mean that this process was paused.
 constexpr int PAUSE_INTERVALS = 2;
+// Parts of a report that one heartbeat carries, so that its size does not grow with what a host owns.
+constexpr std::size_t LOADS_PER_HEARTBEAT = 4;
+constexpr std::size_t DEMANDS_PER_HEARTBEAT = 2;
+
+// Keeps `count` elements; which ones moves on with each turn.
+template <typename T> void keepPart(std::vector<T>& items, std::size_t count, std::uint64_t turn)
+{
+    if (items.size() <= count)
+        return;
+    std::rotate(items.begin(), items.begin() + static_cast<std::ptrdiff_t>(turn * count % items.size()), items.end());
+    items.resize(count);
+}
+
 }
 
 MembershipTracker::MembershipTracker(TrackerOptions options)
@@ -433,6 +446,8 @@
     report.folded = m_folded;
     report.governing = m_governing;
     report.endorsedEvictions.assign(m_endorsed.begin(), m_endorsed.end());
+    keepPart(report.loads, LOADS_PER_HEARTBEAT, m_sequence);
+    keepPart(report.demands, DEMANDS_PER_HEARTBEAT, m_sequence);
     const bool abandoned = self.incarnation == m_abandoned;
     for (const auto& [id, peer] : m_peers) {
         Heartbeat heartbeat { .sender = self,
--- a/src/node/internal/callcontext.cpp
+++ b/src/node/internal/callcontext.cpp
@@ -1,6 +1,7 @@
 #include "callcontext.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fireflyhaven::node {
 
@@ -145,23 +146,26 @@
 
 std::vector<membership::WorkspaceDemand> Gatekeeper::demands() const
 {
+    constexpr double LARGEST = UINT16_MAX;
     const TimePoint now = m_parts.clock.now();
     absl::MutexLock lock(&m_mutex);
     std::vector<membership::WorkspaceDemand> demands;
     for (const WorkspaceId& it : m_limiter.active(now)) {
-        demands.push_back({ .workspace = it,
-            .requestsPerSecond = static_cast<float>(m_limiter.demand(it, now)),
-            .inFlight = static_cast<std::uint32_t>(m_limiter.inFlight(it)) });
+        demands.push_back({ .workspace = membership::shortIdOf(it.value()),
+            .requestsPerSecond = static_cast<std::uint16_t>(std::min(LARGEST, std::ceil(m_limiter.demand(it, now)))),
+            .inFlight = static_cast<std::uint16_t>(m_limiter.inFlight(it)) });
     }
     return demands;
 }
 
 nlohmann::json Gatekeeper::dump() const
 {
+    const TimePoint now = m_parts.clock.now();
+    absl::MutexLock lock(&m_mutex);
     nlohmann::json workspaces = nlohmann::json::object();
-    for (const membership::WorkspaceDemand& it : demands()) {
-        workspaces[it.workspace.value()]
-            = { { "requests_per_second", it.requestsPerSecond }, { "in_flight", it.inFlight } };
+    for (const WorkspaceId& it : m_limiter.active(now)) {
+        workspaces[it.value()]
+            = { { "requests_per_second", m_limiter.demand(it, now) }, { "in_flight", m_limiter.inFlight(it) } };
     }
     return workspaces;
 }
--- a/src/node/internal/loadboard.cpp
+++ b/src/node/internal/loadboard.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 constexpr Duration REFRESH_INTERVAL { 100 };
+// Time after which what a host told no longer counts; a few turns of the parts of a report.
+constexpr Duration REPORT_LIFETIME { 8000 };
 constexpr int FIRST_TOKEN_HISTORY = 8;
 constexpr dispatch::RetryOptions AVOIDANCE { .firstBackoff = Duration(500), .longestBackoff = Duration(10'000) };
 }
@@ -28,40 +30,40 @@
     if (now - m_refreshedAt < REFRESH_INTERVAL)
         return;
     m_refreshedAt = now;
-    m_loads.clear();
-    m_demands.clear();
-    for (const membership::UpstreamLoad& it : m_executor.loads())
-        m_loads[it.upstream] = it;
     m_hosts = 1;
     m_replica.read([&](const ReplicaState& state) {
         for (const HostId& id : state.tracker.heardHosts(now)) {
             const membership::HostReport* report = state.tracker.reportOf(id, now);
             ++m_hosts;
             for (const membership::UpstreamLoad& it : report->loads)
-                m_loads.emplace(it.upstream, it);
-            for (const membership::WorkspaceDemand& it : report->demands) {
-                m_demands[it.workspace].requestsPerSecond += it.requestsPerSecond;
-                m_demands[it.workspace].inFlight += static_cast<int>(it.inFlight);
-            }
+                m_loads[it.upstream] = { .load = it, .heardAt = now };
+            for (const membership::WorkspaceDemand& it : report->demands)
+                m_demands[{ it.workspace, id }] = { .demand = it, .heardAt = now };
         }
     });
+    for (const membership::UpstreamLoad& it : m_executor.loads())
+        m_loads[it.upstream] = { .load = it, .heardAt = now };
+    std::erase_if(m_loads, [&](const auto& it) { return now - it.second.heardAt > REPORT_LIFETIME; });
+    std::erase_if(m_demands, [&](const auto& it) { return now - it.second.heardAt > REPORT_LIFETIME; });
 }
 
 routing::UpstreamOption LoadBoard::optionFor(const UpstreamId& upstream, const DataCentreId& dataCentre)
 {
     absl::MutexLock lock(&m_mutex);
     refresh();
-    routing::UpstreamOption option { .upstream = upstream, .sameDataCentre = dataCentre == m_settings.dataCentre };
-    const auto load = m_loads.find(upstream);
+    routing::UpstreamOption option { .upstream = upstream,
+        .hash = stableHash(upstream.value()),
+        .sameDataCentre = dataCentre == m_settings.dataCentre };
+    const auto load = m_loads.find(membership::shortIdOf(upstream.value()));
     if (load != m_loads.end()) {
-        option.inFlight = load->second.inFlight;
-        option.limit = load->second.limit;
-        option.queued = load->second.queued;
+        option.inFlight = load->second.load.inFlight;
+        option.limit = load->second.load.limit;
+        option.queued = load->second.load.queued;
     }
     const Health& health = m_health[upstream];
     option.firstToken = health.firstToken;
     // An upstream whose owner is unknown or still taking over can't be sent to yet.
-    option.avoided = health.avoidedUntil > m_clock.now() || load == m_loads.end() || load->second.limit == 0;
+    option.avoided = health.avoidedUntil > m_clock.now() || load == m_loads.end() || load->second.load.limit == 0;
     return option;
 }
 
@@ -89,10 +91,15 @@
 
 admission::OthersDemand LoadBoard::othersDemand(const WorkspaceId& workspace)
 {
+    const membership::ShortId id = membership::shortIdOf(workspace.value());
     absl::MutexLock lock(&m_mutex);
     refresh();
-    const auto it = m_demands.find(workspace);
-    return it == m_demands.end() ? admission::OthersDemand {} : it->second;
+    admission::OthersDemand others;
+    for (auto it = m_demands.lower_bound({ id, HostId() }); it != m_demands.end() && it->first.first == id; ++it) {
+        others.requestsPerSecond += it->second.demand.requestsPerSecond;
+        others.inFlight += it->second.demand.inFlight;
+    }
+    return others;
 }
 
 int LoadBoard::hosts()
--- a/src/node/internal/loadboard.h
+++ b/src/node/internal/loadboard.h
@@ -32,6 +32,16 @@
         Duration firstToken { 100 };
     };
 
+    // Reports come in parts, so each keeps the time at which it came.
+    struct KnownLoad {
+        membership::UpstreamLoad load;
+        TimePoint heardAt {};
+    };
+    struct KnownDemand {
+        membership::WorkspaceDemand demand;
+        TimePoint heardAt {};
+    };
+
     void refresh() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     const NodeSettings& m_settings;
@@ -39,8 +49,8 @@
     ClusterReplica& m_replica;
     OwnerExecutor& m_executor;
     absl::Mutex m_mutex;
-    std::map<UpstreamId, membership::UpstreamLoad> m_loads ABSL_GUARDED_BY(m_mutex);
-    std::map<WorkspaceId, admission::OthersDemand> m_demands ABSL_GUARDED_BY(m_mutex);
+    std::map<membership::ShortId, KnownLoad> m_loads ABSL_GUARDED_BY(m_mutex);
+    std::map<std::pair<membership::ShortId, HostId>, KnownDemand> m_demands ABSL_GUARDED_BY(m_mutex);
     std::map<UpstreamId, Health> m_health ABSL_GUARDED_BY(m_mutex);
     int m_hosts ABSL_GUARDED_BY(m_mutex) = 1;
     TimePoint m_refreshedAt ABSL_GUARDED_BY(m_mutex) {};
--- a/src/node/internal/upstreamgate.cpp
+++ b/src/node/internal/upstreamgate.cpp
@@ -95,10 +95,10 @@
 {
     absl::MutexLock lock(&m_mutex);
     const bool takingOver = m_ramp.phase(m_clock.now()) == dispatch::ConcurrencyRamp::Phase::TakingOver;
-    return { .upstream = upstream,
-        .inFlight = static_cast<std::uint32_t>(m_ramp.inFlight()),
-        .limit = takingOver ? 0 : static_cast<std::uint32_t>(m_ramp.currentLimit()),
-        .queued = static_cast<std::uint32_t>(m_queue.size()) };
+    return { .upstream = membership::shortIdOf(upstream.value()),
+        .inFlight = static_cast<std::uint16_t>(m_ramp.inFlight()),
+        .limit = static_cast<std::uint16_t>(takingOver ? 0 : m_ramp.currentLimit()),
+        .queued = static_cast<std::uint16_t>(m_queue.size()) };
 }
 
 dispatch::ConcurrencyRamp::Phase UpstreamGate::phase() const
--- a/src/peer/tests/peer_test.cpp
+++ b/src/peer/tests/peer_test.cpp
@@ -18,7 +18,7 @@
 membership::Heartbeat sampleHeartbeat()
 {
     membership::Heartbeat it { .sender = { HostId("h"), Incarnation(3) }, .sequence = 7 };
-    it.report.loads = { { .upstream = UpstreamId("u"), .inFlight = 2 } };
+    it.report.loads = { { .upstream = membership::shortIdOf("u"), .inFlight = 2 } };
     it.report.suspensions = { { .version = { "m", "1" } } };
     return it;
 }
@@ -49,7 +49,7 @@
 {
     membership::Heartbeat large = sampleHeartbeat();
     for (int n = 0; n < 500; ++n)
-        large.report.loads.push_back({ .upstream = UpstreamId("upstream" + std::to_string(n)) });
+        large.report.loads.push_back({ .upstream = membership::shortIdOf("upstream" + std::to_string(n)) });
     const std::string datagram = sealHeartbeat(KEY, large);
     cr_assert_leq(datagram.size(), MAX_DATAGRAM_BYTES);
     cr_assert(openHeartbeat(KEY, datagram).has_value());
--- a/src/routing/internal/upstreampicker.cpp
+++ b/src/routing/internal/upstreampicker.cpp
@@ -15,7 +15,7 @@
 
 std::uint64_t affinityOf(const UpstreamOption& it, std::uint64_t prefixHash)
 {
-    return combineHashes(stableHash(it.upstream.value()), prefixHash);
+    return combineHashes(it.hash, prefixHash);
 }
 
 std::vector<std::size_t> usable(const std::vector<UpstreamOption>& options)
@@ -56,28 +56,27 @@
 
 std::size_t pickUpstream(const std::vector<UpstreamOption>& options, std::uint64_t prefixHash, const PickOptions& how)
 {
-    std::vector<std::size_t> positions = usable(options);
+    const std::vector<std::size_t> positions = usable(options);
     if (positions.empty())
         return options.size();
     if (how.policy == PickPolicy::LeastLoaded)
         return leastLoaded(options, positions, prefixHash);
-    const auto favourite = std::max_element(positions.begin(), positions.end(), [&](std::size_t a, std::size_t b) {
-        return affinityOf(options[a], prefixHash) < affinityOf(options[b], prefixHash);
-    });
-    if (how.policy == PickPolicy::PlainHash)
-        return *favourite;
     double total = 0;
     for (const std::size_t n : positions)
         total += loadOf(options[n]);
-    const double bound = std::max(how.freeLoad, how.loadBound * total / static_cast<double>(positions.size()));
-    std::sort(positions.begin(), positions.end(), [&](std::size_t a, std::size_t b) {
-        return affinityOf(options[a], prefixHash) > affinityOf(options[b], prefixHash);
-    });
+    const double average = total / static_cast<double>(positions.size());
+    const double bound = std::min(1.0, std::max(how.freeLoad, how.loadBound * average));
+    std::size_t best = options.size();
+    std::uint64_t bestAffinity = 0;
     for (const std::size_t n : positions) {
-        if (loadOf(options[n]) <= std::min(bound, 1.0))
-            return n;
+        const std::uint64_t affinity = affinityOf(options[n], prefixHash);
+        const bool fits = how.policy == PickPolicy::PlainHash || loadOf(options[n]) <= bound;
+        if (!fits || (best != options.size() && affinity <= bestAffinity))
+            continue;
+        best = n;
+        bestAffinity = affinity;
     }
-    return leastLoaded(options, positions, prefixHash);
+    return best == options.size() ? leastLoaded(options, positions, prefixHash) : best;
 }
 
 }
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -207,8 +207,10 @@
 Test(picker, prefixStaysUntilTheLoadIsTooHigh)
 {
     std::vector<UpstreamOption> options;
-    for (int n = 0; n < 6; ++n)
-        options.push_back({ .upstream = UpstreamId("u" + std::to_string(n)), .limit = 8, .firstToken = Duration(100) });
+    for (int n = 0; n < 6; ++n) {
+        const UpstreamId id("u" + std::to_string(n));
+        options.push_back({ .upstream = id, .hash = stableHash(id.value()), .limit = 8, .firstToken = Duration(100) });
+    }
     const std::uint64_t prefix = stableHash("prompt");
     const std::size_t home = pickUpstream(options, prefix);
     cr_assert_eq(pickUpstream(options, prefix), home);
