--- a/apps/load.cpp
+++ b/apps/load.cpp
@@ -221,6 +221,11 @@
         if (!session.empty())
             call.headers["X-Session"] = session;
         Outcome outcome = perform(call, it);
+        // A caller that can't connect tries another of its addresses.
+        for (int n = 0; n < 3 && outcome.code == "unreachable"; ++n) {
+            call.url = pickHost() + call.url.substr(call.url.find('/', std::string("http://").size()));
+            outcome = perform(call, it);
+        }
         if (outcome.status == 307) {
             call.url = m_redirect;
             outcome = perform(call, it);
@@ -259,8 +264,12 @@
             absl::MutexLock lock(&m_mutex);
             m_redirect = received.count("location") ? received.at("location") : call.url;
         }
-        if (!outcome.whole)
+        if (answer.reached == http::Reached::NotSent) {
+            outcome.code = "unreachable";
+            outcome.run = "not_run";
+        } else if (!outcome.whole) {
             readError(body, answer.error, outcome);
+        }
         return outcome;
     }
 
