--- a/include/fireflyhaven/billing/billholder.h
+++ b/include/fireflyhaven/billing/billholder.h
@@ -18,7 +18,11 @@
     std::size_t copies = 2;
     // Most bills that wait for the log; at the bound no new request is taken.
     std::size_t maxWaiting = 50'000;
-    std::size_t maxBatch = 200;
+    std::size_t maxBatch = 500;
+    // How long a bill with a copy waits for others to share its append.
+    Duration linger { 2000 };
+    // How long a bill waits for its first copy before it is appended at once.
+    Duration copyPatience { 30 };
 };
 
 struct PeerHost {
@@ -36,7 +40,7 @@
     bool accepting() const { return m_own.size() < m_options.maxWaiting; }
 
     // Peers to which the bill is to be copied, the best first.
-    std::vector<HostId> hold(Bill bill, const std::vector<PeerHost>& peers);
+    std::vector<HostId> hold(Bill bill, const std::vector<PeerHost>& peers, TimePoint now);
     void onCopyStored(const std::string& key, const HostId& peer);
     // Whether the last byte of the answer may leave: the bill is in the log, or a peer has stored a copy.
     bool isSafe(const std::string& key) const;
@@ -49,8 +53,10 @@
     // The peer has left the members: its bills become this host's own.
     void onHolderGone(const HostId& holder);
 
-    // Next bills to append in one record, if any; answered by `onAppended`.
-    std::vector<Bill> nextBatch();
+    // Next bills to append in one record, if it is time; answered by `onAppended`.
+    std::vector<Bill> nextBatch(TimePoint now);
+    // No bill waits for others any more; for a shutdown.
+    void stopLingering() { m_options.linger = Duration(0); }
     void onAppended(bool succeeded);
 
     std::size_t waiting() const { return m_own.size(); }
@@ -61,8 +67,11 @@
     struct OwnBill {
         Bill bill;
         std::set<HostId> copies;
+        TimePoint heldAt {};
     };
 
+    bool isDue(const OwnBill& it, TimePoint now) const;
+
     HolderOptions m_options;
     std::map<std::string, OwnBill> m_own;
     std::vector<std::string> m_batch;
--- a/src/billing/internal/billholder.cpp
+++ b/src/billing/internal/billholder.cpp
@@ -11,7 +11,7 @@
 {
 }
 
-std::vector<HostId> BillHolder::hold(Bill bill, const std::vector<PeerHost>& peers)
+std::vector<HostId> BillHolder::hold(Bill bill, const std::vector<PeerHost>& peers, TimePoint now)
 {
     const std::string key = bill.key();
     std::vector<PeerHost> ranked = peers;
@@ -25,7 +25,7 @@
     hosts.reserve(ranked.size());
     for (const PeerHost& it : ranked)
         hosts.push_back(it.host);
-    m_own[key] = { .bill = std::move(bill), .copies = {} };
+    m_own[key] = { .bill = std::move(bill), .copies = {}, .heldAt = now };
     return hosts;
 }
 
@@ -67,14 +67,21 @@
     if (it == m_copies.end())
         return;
     for (auto& [key, bill] : it->second)
-        m_own.emplace(key, OwnBill { .bill = std::move(bill), .copies = {} });
+        m_own.emplace(key, OwnBill { .bill = std::move(bill), .copies = {}, .heldAt = {} });
     m_copies.erase(it);
 }
 
-std::vector<Bill> BillHolder::nextBatch()
+bool BillHolder::isDue(const OwnBill& it, TimePoint now) const
+{
+    return now - it.heldAt >= (it.copies.empty() ? m_options.copyPatience : m_options.linger);
+}
+
+std::vector<Bill> BillHolder::nextBatch(TimePoint now)
 {
     std::vector<Bill> bills;
-    if (!m_batch.empty())
+    const bool due = m_own.size() >= m_options.maxBatch
+        || std::any_of(m_own.begin(), m_own.end(), [&](const auto& it) { return isDue(it.second, now); });
+    if (!m_batch.empty() || !due)
         return bills;
     for (const auto& [key, own] : m_own) {
         if (bills.size() == m_options.maxBatch)
--- a/src/node/internal/adminservice.cpp
+++ b/src/node/internal/adminservice.cpp
@@ -182,7 +182,9 @@
         std::optional<http::Response> refusal;
         handleFailure(
             [&]() -> Result<bool> {
-                BOOST_LEAF_AUTO(written, m_replica.write(cluster::ConfigEntry { .changes = changes }, ACCEPT_WAIT));
+                BOOST_LEAF_AUTO(written,
+                    m_replica.write(cluster::ConfigEntry { .changes = changes },
+                        m_replica.logReachable() ? ACCEPT_WAIT : Duration(0)));
                 offset = written.offset;
                 const cluster::EntryVerdict& verdict = written.verdict;
                 if (verdict.kind == cluster::EntryVerdict::Kind::Conflict)
--- a/src/node/internal/billingservice.cpp
+++ b/src/node/internal/billingservice.cpp
@@ -56,7 +56,7 @@
     std::vector<HostId> targets;
     {
         absl::MutexLock lock(&m_mutex);
-        targets = m_holder.hold(bill, peers);
+        targets = m_holder.hold(bill, peers, m_clock.now());
     }
     for (const HostId& host : targets)
         m_copiers.run([this, host, bill] { copyTo(host, bill); });
@@ -93,7 +93,7 @@
             m_mutex.AwaitWithTimeout(absl::Condition(&m_stopping), absl::Milliseconds(APPEND_PAUSE.count()));
             if (m_stopping)
                 return;
-            bills = m_holder.nextBatch();
+            bills = m_holder.nextBatch(m_clock.now());
         }
         if (bills.empty()) {
             releaseAtPeers();
@@ -174,9 +174,10 @@
     m_holder.onHolderGone(host);
 }
 
-bool BillingService::flush(Duration wait) const
+bool BillingService::flush(Duration wait)
 {
     absl::MutexLock lock(&m_mutex);
+    m_holder.stopLingering();
     const auto idle = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) { return m_holder.idle(); };
     return m_mutex.AwaitWithTimeout(absl::Condition(&idle), absl::Milliseconds(wait.count()));
 }
--- a/src/node/internal/billingservice.h
+++ b/src/node/internal/billingservice.h
@@ -25,7 +25,7 @@
     void releaseCopies(const HostId& holder, const std::vector<std::string>& keys);
     void onMemberGone(const HostId& host);
     // Waits until no bill of this host waits for the log.
-    bool flush(Duration wait) const;
+    bool flush(Duration wait);
     nlohmann::json dump() const;
 
 private:
--- a/src/node/internal/clusterreplica.cpp
+++ b/src/node/internal/clusterreplica.cpp
@@ -224,6 +224,11 @@
     }
     const cluster::RecordVerdict verdict = m_state.fold.apply(*record, item.offset);
     m_metrics.count("log_records_folded");
+    for (const cluster::Entry& entry : record->entries) {
+        const auto* ratings = std::get_if<quality::RatingsEntry>(&entry);
+        if (ratings && record->id.writer != m_writerId && !verdict.ignored)
+            m_hooks.onPeerRatings(*ratings);
+    }
     for (const cluster::TicketVerdict& it : m_writer.onFolded(record->id, verdict, item.offset))
         settle(it);
     if (m_state.fold.governingOffset() != governing)
--- a/src/node/internal/clusterreplica.h
+++ b/src/node/internal/clusterreplica.h
@@ -26,6 +26,8 @@
     std::function<membership::HostReport()> report;
     // Suspensions that a peer's heartbeat told.
     std::function<void(const std::vector<quality::SuspendEntry>&)> onSuspensions;
+    // Another host's ratings were folded; called with the lock held.
+    std::function<void(const quality::RatingsEntry&)> onPeerRatings;
     // Members or owners have changed; called with the lock held.
     std::function<void(const ReplicaState&)> onGoverning;
     // A member has left the members, however; called with the lock held.
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -91,6 +91,7 @@
 {
     return { .report = [this] { return report(); },
         .onSuspensions = [this](const auto& it) { m_quality->onPeerSuspensions(it); },
+        .onPeerRatings = [this](const quality::RatingsEntry& it) { m_quality->onPeerRatings(it); },
         .onGoverning = [this](const ReplicaState& it) { m_executor->onGoverning(it); },
         .onMemberGone = [this](const HostId& it) { m_billing->onMemberGone(it); },
         .fetchFromPeer = [this](const auto& from, Offset offset) { return fetchRecords(from, offset); } };
--- a/src/node/internal/qualityservice.cpp
+++ b/src/node/internal/qualityservice.cpp
@@ -42,6 +42,7 @@
         bool stopping = false;
         while (!stopping) {
             writeRatings();
+            weighPeerRatings();
             absl::MutexLock lock(&m_mutex);
             stopping
                 = m_mutex.AwaitWithTimeout(absl::Condition(&m_stopping), absl::Milliseconds(WRITE_INTERVAL.count()));
@@ -118,33 +119,56 @@
 void QualityService::record(const quality::RatingKey& key, bool good)
 {
     m_metrics.count(good ? "ratings_good" : "ratings_bad");
-    const std::shared_ptr<const config::Lists> lists = m_replica.lists();
-    const double target = strictestTarget(*lists, key);
-    const auto* version = config::findItem(lists->versions, key.version);
-    bool suspend = false;
     {
         absl::MutexLock lock(&m_mutex);
         quality::RatingsEntry& entry = m_unwritten[key];
         entry.key = key;
         (good ? entry.good : entry.bad) += 1;
-        suspend = version && m_detector.onRatings(key, good ? 1 : 0, good ? 0 : 1, target);
     }
-    if (!suspend || isSuspended(key.version, version->revision))
+    weigh({ .key = key, .good = good ? 1U : 0U, .bad = good ? 0U : 1U });
+}
+
+void QualityService::weigh(const quality::RatingsEntry& ratings)
+{
+    const ModelVersion& name = ratings.key.version;
+    const std::shared_ptr<const config::Lists> lists = m_replica.lists();
+    const auto* version = config::findItem(lists->versions, name);
+    if (!version || isSuspended(name, version->revision))
         return;
+    const double target = strictestTarget(*lists, ratings.key);
     const quality::SuspendEntry entry {
-        .version = key.version, .versionRevision = version->revision, .host = m_settings.host
+        .version = name, .versionRevision = version->revision, .host = m_settings.host
     };
-    spdlog::warn(
-        "version {} suspended: its ratings for {} fell under {}", key.version.text(), key.task.value(), target);
-    m_metrics.count("versions_suspended");
     {
         absl::MutexLock lock(&m_mutex);
+        if (!m_detector.onRatings(ratings.key, ratings.good, ratings.bad, target))
+            return;
         addSuspension(entry);
-        m_detector.forget(key.version);
+        m_detector.forget(name);
     }
+    spdlog::warn(
+        "version {} suspended: its ratings for {} fell under {}", name.text(), ratings.key.task.value(), target);
+    m_metrics.count("versions_suspended");
     m_replica.writeLater(entry);
 }
 
+void QualityService::onPeerRatings(const quality::RatingsEntry& entry)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_peerRatings.push_back(entry);
+}
+
+void QualityService::weighPeerRatings()
+{
+    std::vector<quality::RatingsEntry> ratings;
+    {
+        absl::MutexLock lock(&m_mutex);
+        ratings.swap(m_peerRatings);
+    }
+    for (const quality::RatingsEntry& it : ratings)
+        weigh(it);
+}
+
 void QualityService::writeRatings()
 {
     std::map<quality::RatingKey, quality::RatingsEntry> entries;
--- a/src/node/internal/qualityservice.h
+++ b/src/node/internal/qualityservice.h
@@ -31,6 +31,8 @@
     // Suspensions that this host knows of and the log may not hold yet.
     std::vector<quality::SuspendEntry> unloggedSuspensions() const;
     void onPeerSuspensions(const std::vector<quality::SuspendEntry>& suspensions);
+    // Ratings that another host has written; taken as evidence with the next turn of the writer's thread.
+    void onPeerRatings(const quality::RatingsEntry& entry);
     nlohmann::json dump() const;
 
 private:
@@ -43,6 +45,9 @@
     void work();
     void writeRatings();
     void record(const quality::RatingKey& key, bool good);
+    // Adds ratings to the evidence against the version, and suspends it where that is enough.
+    void weigh(const quality::RatingsEntry& ratings);
+    void weighPeerRatings();
     bool addSuspension(const quality::SuspendEntry& entry) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Strictest quality target among the plans that may use the version for the task.
     double strictestTarget(const config::Lists& lists, const quality::RatingKey& key) const;
@@ -56,6 +61,7 @@
     std::deque<Job> m_jobs ABSL_GUARDED_BY(m_mutex);
     quality::BadVersionDetector m_detector ABSL_GUARDED_BY(m_mutex);
     std::map<quality::RatingKey, quality::RatingsEntry> m_unwritten ABSL_GUARDED_BY(m_mutex);
+    std::vector<quality::RatingsEntry> m_peerRatings ABSL_GUARDED_BY(m_mutex);
     std::set<quality::SuspendEntry> m_suspensions ABSL_GUARDED_BY(m_mutex);
     TimePoint m_unavailableUntil ABSL_GUARDED_BY(m_mutex) {};
     bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
--- a/src/node/internal/servicecalls.cpp
+++ b/src/node/internal/servicecalls.cpp
@@ -18,6 +18,8 @@
 constexpr int STATUS_BAD_GATEWAY = 502;
 constexpr int STATUS_UNAVAILABLE = 503;
 constexpr Duration COME_BACK { 1000 };
+// How long a claim may take to come back through the log.
+constexpr Duration CLAIM_PATIENCE { 3000 };
 // How long a result may take to be recorded before the answer is given all the same; the writer goes on trying.
 constexpr Duration RESULT_PATIENCE { 2000 };
 const std::string SERVICES_PREFIX = "/v1/services/";
@@ -223,7 +225,9 @@
     const std::string& id = context.request.value();
     std::optional<ApiError> error;
     std::optional<cluster::TicketVerdict> verdict;
-    const Duration wait = std::max(Duration(0), context.answerBy - m_parts.clock.now());
+    const Duration left = std::max(Duration(0), context.answerBy - m_parts.clock.now());
+    // While the log is known to be unreachable the refusal is not held back.
+    const Duration wait = m_parts.replica.logReachable() ? std::min(left, CLAIM_PATIENCE) : Duration(0);
     handleFailure(
         [&]() -> Result<bool> {
             BOOST_LEAF_ASSIGN(verdict,
