Tests compare texts, not pointers into texts that are gone

Cause: the sanitizer run showed stack-use-after-scope in two tests: the assertion macro keeps pointers from c_str() of temporaries.

Change: those two compare the texts.

--- a/src/billing/tests/billholder_test.cpp
+++ b/src/billing/tests/billholder_test.cpp
@@ -83,7 +83,7 @@
     peer.onHolderGone(HostId("h"));
     const std::vector<Bill> batch = peer.nextBatch(LATER);
     cr_assert_eq(batch.size(), 1);
-    cr_assert_str_eq(batch[0].key().c_str(), "w/r2");
+    cr_assert(batch[0].key() == "w/r2");
     peer.onAppended(true);
     cr_assert_eq(peer.copiesHeld(), 0);
 }
--- a/src/peer/tests/peer_test.cpp
+++ b/src/peer/tests/peer_test.cpp
@@ -92,7 +92,7 @@
     // More pieces than the credit: the server waits for this receiver without holding up the other calls.
     for (const auto& call : calls) {
         for (int n = 0; n < 300; ++n)
-            cr_assert_str_eq(call->next(WAIT).c_str(), ("piece" + std::to_string(n)).c_str());
+            cr_assert(call->next(WAIT) == "piece" + std::to_string(n));
         cr_assert(call->next(WAIT).empty());
         cr_assert(call->end() == CallEnd::Complete);
     }
