--- a/src/billing/internal/billholder.cpp
+++ b/src/billing/internal/billholder.cpp
@@ -25,7 +25,8 @@
     hosts.reserve(ranked.size());
     for (const PeerHost& it : ranked)
         hosts.push_back(it.host);
-    m_own[key] = { .bill = std::move(bill), .copies = {}, .heldAt = now };
+    // A bill that nobody can copy is due at once.
+    m_own[key] = { .bill = std::move(bill), .copies = {}, .heldAt = hosts.empty() ? TimePoint {} : now };
     return hosts;
 }
 
--- a/src/node/internal/billingservice.cpp
+++ b/src/node/internal/billingservice.cpp
@@ -57,6 +57,7 @@
     {
         absl::MutexLock lock(&m_mutex);
         targets = m_holder.hold(bill, peers, m_clock.now());
+        m_dueNow = m_dueNow || targets.empty();
     }
     for (const HostId& host : targets)
         m_copiers.run([this, host, bill] { copyTo(host, bill); });
@@ -90,9 +91,11 @@
         std::vector<billing::Bill> bills;
         {
             absl::MutexLock lock(&m_mutex);
-            m_mutex.AwaitWithTimeout(absl::Condition(&m_stopping), absl::Milliseconds(APPEND_PAUSE.count()));
+            const auto woken = [this]() ABSL_SHARED_LOCKS_REQUIRED(m_mutex) { return m_stopping || m_dueNow; };
+            m_mutex.AwaitWithTimeout(absl::Condition(&woken), absl::Milliseconds(APPEND_PAUSE.count()));
             if (m_stopping)
                 return;
+            m_dueNow = false;
             bills = m_holder.nextBatch(m_clock.now());
         }
         if (bills.empty()) {
--- a/src/node/internal/billingservice.h
+++ b/src/node/internal/billingservice.h
@@ -43,6 +43,8 @@
     platform::HttpLogService m_log;
     mutable absl::Mutex m_mutex;
     billing::BillHolder m_holder ABSL_GUARDED_BY(m_mutex);
+    // A bill waits that nobody can copy.
+    bool m_dueNow ABSL_GUARDED_BY(m_mutex) = false;
     bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
     WorkerPool m_copiers { 64 };
     std::thread m_thread;
