--- a/tests/coordination/fakecluster.cpp
+++ b/tests/coordination/fakecluster.cpp
@@ -74,6 +74,7 @@
     m_log.down = false;
     for (FakeHost& it : m_hosts) {
         it.logCut = false;
+        it.fetchCut = false;
         it.pausedUntil = m_now;
     }
     trace("heal");
@@ -154,6 +155,8 @@
         }
         return;
     }
+    if (host.fetchCut)
+        return;
     for (const HostId& id : host.tracker.hostsAhead(m_now)) {
         FakeHost* peer = find(id);
         if (!isRunning(*peer) || isCut(id, host.id) || isCut(host.id, id) || !host.caughtUp)
--- a/tests/coordination/fakecluster.h
+++ b/tests/coordination/fakecluster.h
@@ -44,6 +44,8 @@
     DataCentreId dataCentre;
     bool alive = true;
     bool logCut = false;
+    // Can't fetch records from its peers either, although heartbeats pass.
+    bool fetchCut = false;
     TimePoint pausedUntil {};
     cluster::ClusterFold fold;
     membership::MembershipTracker tracker;
--- a/tests/coordination/faultrun_test.cpp
+++ b/tests/coordination/faultrun_test.cpp
@@ -77,7 +77,8 @@
         break;
     case 6:
         host.logCut = !host.logCut;
-        cluster.trace("log cut for " + host.id.value());
+        host.fetchCut = host.logCut && pick(cluster, 2) == 0;
+        cluster.trace((host.fetchCut ? "all records cut for " : "log cut for ") + host.id.value());
         break;
     case 7:
         cluster.loseNextAnswers(static_cast<int>(pick(cluster, 3)) + 1);
--- a/tests/coordination/scenarios_test.cpp
+++ b/tests/coordination/scenarios_test.cpp
@@ -272,6 +272,21 @@
     assertKept(cluster);
 }
 
+Test(scenarios, hostThatLagsLosesItsRight)
+{
+    FakeCluster cluster = startedCluster();
+    const std::size_t owner = ownerOf(cluster, UPSTREAM);
+    cluster.host(owner).logCut = true;
+    cluster.host(owner).fetchCut = true;
+    cluster.change(owner == 8 ? 7 : 8, config::Collection::DataCentres, "dc0", { { "in_service", false } });
+    cluster.run(CUT_OFF_BOUND);
+    cr_assert(cluster.host(owner).fold.config().lists().dataCentres.at(DataCentreId("dc0")).value.inService,
+        "it does not know");
+    cr_assert_not(cluster.hasRight(cluster.host(owner), UPSTREAM));
+    cluster.run(Duration(10'000));
+    assertKept(cluster);
+}
+
 Test(scenarios, dataCentreTakenOutGetsNoNewWork)
 {
     FakeCluster cluster = startedCluster();
