The test of stale proofs isolates the rule that it is for

Cause: with the check of the last change of voters taken out, no test went red: the old test's stale eviction was refused for too few witnesses all the same.

Change: the stale eviction would now have witnesses and endorsers enough, had they folded the last change.

--- a/src/membership/tests/membershipfold_test.cpp
+++ b/src/membership/tests/membershipfold_test.cpp
@@ -79,11 +79,14 @@
 Test(membershipfold, proofOfAnOlderChangeIsRefused)
 {
     MembershipFold fold = threeVoters();
-    const EvictEntry early = evictOf(fold, "c", { A, B });
     fold.apply(joinOf("d"), Offset(6));
     fold.apply(AdmitEntry { proofOf(fold, { A, B }), { lifeOf(fold, "d") } }, Offset(7));
     fold.apply(ConfirmEntry { proofOf(fold, { A, B, C }) }, Offset(8));
-    cr_assert_not(fold.apply(early, Offset(9)));
+    const EvictEntry early = evictOf(fold, "d", { A, B, C });
+    fold.apply(LeaveEntry { lifeOf(fold, "c") }, Offset(9));
+    // Two of the three that are left would be enough, had they folded the last change.
+    cr_assert_not(fold.apply(early, Offset(10)));
+    cr_assert(fold.apply(evictOf(fold, "d", { A, B }), Offset(11)));
 }
 
 Test(membershipfold, evictionOfAnEarlierLifeChangesNothing)
