HTTP status codes stand in one place

Cause: eleven sources each defined the same status codes.

Change: http/types/status.h; the copies and bare numbers are gone.

--- a/apps/fireflyhavenctl.cpp
+++ b/apps/fireflyhavenctl.cpp
@@ -3,6 +3,7 @@
 #include "fireflyhaven/config/configfold.h"
 #include "fireflyhaven/http/client.h"
 #include "fireflyhaven/settings/optionparser.h"
+#include "fireflyhaven/http/types/status.h"
 
 #include <fstream>
 #include <iostream>
@@ -11,8 +12,6 @@
 using namespace fireflyhaven;
 
 namespace {
-
-constexpr int STATUS_LAST_OK = 299;
 constexpr int EXIT_REFUSED = 1;
 
 struct Settings {
--- a/apps/load.cpp
+++ b/apps/load.cpp
@@ -3,6 +3,7 @@
 #include "fireflyhaven/common/json.h"
 #include "fireflyhaven/common/workerpool.h"
 #include "fireflyhaven/http/client.h"
+#include "fireflyhaven/http/types/status.h"
 #include "fireflyhaven/settings/optionparser.h"
 
 #include <absl/time/clock.h>
@@ -229,7 +230,7 @@
             call.url = pickHost() + call.url.substr(call.url.find('/', std::string("http://").size()));
             outcome = perform(call, it);
         }
-        if (outcome.status == 307) {
+        if (outcome.status == STATUS_REDIRECT) {
             call.url = m_redirect;
             outcome = perform(call, it);
         }
@@ -265,7 +266,7 @@
         outcome.status = answer.reached == http::Reached::Answered ? answer.response.status : 0;
         outcome.bad = body.find("[bad]") != std::string::npos;
         const bool streamed = it.kind == RequestKind::Question;
-        outcome.whole = outcome.status == 200
+        outcome.whole = outcome.status == STATUS_OK
             && (!streamed || body.find("data: [DONE]") != std::string::npos
                 || body.find("\"done\":true") != std::string::npos);
         const auto& received = answer.response.headers;
@@ -273,7 +274,7 @@
             outcome.version = received.at("x-model-version");
         if (received.count("x-session"))
             keepSession(it, received.at("x-session"));
-        if (outcome.status == 307) {
+        if (outcome.status == STATUS_REDIRECT) {
             absl::MutexLock lock(&m_mutex);
             m_redirect = received.count("location") ? received.at("location") : call.url;
         }
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -1,5 +1,7 @@
 #include "fireflyhaven/http/client.h"
 
+#include "fireflyhaven/http/types/status.h"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -155,9 +157,8 @@
         const ErrorCode code = outcome.timedOut ? ErrorCode::Timeout : ErrorCode::Unavailable;
         return failure(code, call.method + " " + call.url + ": " + outcome.error);
     }
-    constexpr int OK_FIRST = 200;
-    constexpr int OK_LAST = 299;
-    if (outcome.response.status < OK_FIRST || outcome.response.status > OK_LAST) {
+
+    if (outcome.response.status < STATUS_OK || outcome.response.status > STATUS_LAST_OK) {
         return failure(ErrorCode::Unavailable,
             call.method + " " + call.url + ": status " + std::to_string(outcome.response.status));
     }
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -1,4 +1,5 @@
 #include "fireflyhaven/http/server.h"
+#include "fireflyhaven/http/types/status.h"
 
 #include <microhttpd.h>
 
@@ -28,8 +29,6 @@
 constexpr std::size_t STREAM_BLOCK_BYTES = 16 * 1024;
 constexpr std::size_t THREAD_STACK_BYTES = 512 * 1024;
 constexpr std::size_t CONNECTION_MEMORY_BYTES = 32 * 1024;
-constexpr int STATUS_TOO_LARGE = 413;
-constexpr int STATUS_TOO_MANY_HEADERS = 431;
 
 // A request that is being received.
 struct PendingRequest {
--- a/src/node/internal/adminservice.cpp
+++ b/src/node/internal/adminservice.cpp
@@ -2,18 +2,11 @@
 
 #include "billingservice.h"
 #include "fireflyhaven/common/json.h"
+#include "fireflyhaven/http/types/status.h"
 
 namespace fireflyhaven::node {
 
 namespace {
-
-constexpr int STATUS_BAD_REQUEST = 400;
-constexpr int STATUS_UNAUTHORIZED = 401;
-constexpr int STATUS_NOT_FOUND = 404;
-constexpr int STATUS_CONFLICT = 409;
-constexpr int STATUS_UNPROCESSABLE = 422;
-constexpr int STATUS_UNAVAILABLE = 503;
-constexpr int STATUS_GATEWAY_TIMEOUT = 504;
 constexpr Duration ACCEPT_WAIT { 10'000 };
 constexpr Duration IN_FORCE_WAIT { 15'000 };
 const std::string CONFIG_PATH = "/admin/v1/config";
@@ -113,12 +106,12 @@
     if (request.path == "/admin/v1/actions" && request.method == "POST")
         return act(request);
     if (request.path == "/admin/v1/state")
-        return jsonResponse(200, m_dump());
+        return jsonResponse(STATUS_OK, m_dump());
     if (request.path == "/admin/v1/bills") {
         return handleFailure(
             [&]() -> Result<http::Response> {
                 BOOST_LEAF_AUTO(summary, summarizeBills(m_settings.platform));
-                return jsonResponse(200, summary);
+                return jsonResponse(STATUS_OK, summary);
             },
             [](const Failure& it) {
                 return errorResponse(
@@ -212,7 +205,7 @@
         body["in_force"] = missing.empty();
         body["missing"] = missing;
     }
-    http::Response response = jsonResponse(200, body);
+    http::Response response = jsonResponse(STATUS_OK, body);
     response.headers["ETag"] = "\"" + std::to_string(offset.value()) + "\"";
     return response;
 }
--- a/src/node/internal/callcontext.cpp
+++ b/src/node/internal/callcontext.cpp
@@ -1,4 +1,5 @@
 #include "callcontext.h"
+#include "fireflyhaven/http/types/status.h"
 
 #include <algorithm>
 #include <cmath>
@@ -6,11 +7,6 @@
 namespace fireflyhaven::node {
 
 namespace {
-
-constexpr int STATUS_BAD_REQUEST = 400;
-constexpr int STATUS_UNAUTHORIZED = 401;
-constexpr int STATUS_TOO_MANY = 429;
-constexpr int STATUS_UNAVAILABLE = 503;
 constexpr Duration COME_BACK { 1000 };
 constexpr Duration LIMIT_COME_BACK { 500 };
 constexpr std::size_t LONGEST_REQUEST_ID = 128;
--- a/src/node/internal/chatcall.cpp
+++ b/src/node/internal/chatcall.cpp
@@ -2,19 +2,13 @@
 
 #include "fireflyhaven/common/hash.h"
 #include "fireflyhaven/routing/rollout.h"
+#include "fireflyhaven/http/types/status.h"
 
 #include <algorithm>
 
 namespace fireflyhaven::node {
 
 namespace {
-
-constexpr int STATUS_FORBIDDEN = 403;
-constexpr int STATUS_CONFLICT = 409;
-constexpr int STATUS_UNAUTHORIZED = 401;
-constexpr int STATUS_UNAVAILABLE = 503;
-constexpr int STATUS_BAD_GATEWAY = 502;
-constexpr int STATUS_GATEWAY_TIMEOUT = 504;
 constexpr std::size_t CHARACTERS_PER_TOKEN = 4;
 constexpr std::int64_t TOKENS_PER_PRICE = 1000;
 constexpr std::size_t PREFIX_CHARACTERS = 256;
--- a/src/node/internal/chatservice.cpp
+++ b/src/node/internal/chatservice.cpp
@@ -3,12 +3,11 @@
 #include "chatcall.h"
 #include "fireflyhaven/common/json.h"
 #include "fireflyhaven/config/documentreader.h"
+#include "fireflyhaven/http/types/status.h"
 
 namespace fireflyhaven::node {
 
 namespace {
-
-constexpr int STATUS_BAD_REQUEST = 400;
 constexpr int TIMING_HISTORY = 8;
 constexpr std::size_t LONGEST_NAME = 128;
 constexpr std::size_t LONGEST_CONTENT = 1024 * 1024;
@@ -144,7 +143,7 @@
     if (stream) {
         headers["Content-Type"] = "text/event-stream";
         return {
-            .status = 200, .headers = headers, .body = {}, .stream = std::make_shared<ChatStream>(std::move(call))
+            .status = STATUS_OK, .headers = headers, .body = {}, .stream = std::make_shared<ChatStream>(std::move(call))
         };
     }
     std::string text;
@@ -152,7 +151,7 @@
         text += piece;
     if (const std::optional<ApiError> error = call->finish())
         return errorResponse(*error, id.value());
-    http::Response response = jsonResponse(200, wholeAnswer(*call, text));
+    http::Response response = jsonResponse(STATUS_OK, wholeAnswer(*call, text));
     response.headers.insert(headers.begin(), headers.end());
     return response;
 }
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -6,6 +6,7 @@
 #include "fireflyhaven/peer/peerserver.h"
 #include "peermessages.h"
 #include "servicecalls.h"
+#include "fireflyhaven/http/types/status.h"
 
 #include <absl/time/clock.h>
 #include <spdlog/spdlog.h>
@@ -13,10 +14,6 @@
 namespace fireflyhaven::node {
 
 namespace {
-
-constexpr int STATUS_REDIRECT = 307;
-constexpr int STATUS_NOT_FOUND = 404;
-constexpr int STATUS_UNAVAILABLE = 503;
 constexpr Duration FETCH_TIMEOUT { 1000 };
 constexpr Duration ADDRESS_LIFETIME { 3000 };
 constexpr Duration COME_BACK { 1000 };
@@ -194,10 +191,10 @@
 http::Response EntryNode::serve(const http::Request& request)
 {
     if (request.path == "/healthz")
-        return { .status = 200, .headers = {}, .body = "ok\n", .stream = {} };
+        return { .status = STATUS_OK, .headers = {}, .body = "ok\n", .stream = {} };
     if (request.path == "/metrics")
         return {
-            .status = 200, .headers = { { "Content-Type", "text/plain" } }, .body = m_metrics.text(), .stream = {}
+            .status = STATUS_OK, .headers = { { "Content-Type", "text/plain" } }, .body = m_metrics.text(), .stream = {}
         };
     if (request.path.rfind("/admin/", 0) == 0)
         return m_admin->handle(request);
@@ -270,7 +267,7 @@
     nlohmann::json list = nlohmann::json::array();
     for (const EntryHost& it : hostsInService())
         list.push_back({ { "host", it.id }, { "data_centre", it.dataCentre }, { "url", it.url() } });
-    return jsonResponse(200, { { "addresses", list }, { "ttl_ms", ADDRESS_LIFETIME.count() } });
+    return jsonResponse(STATUS_OK, { { "addresses", list }, { "ttl_ms", ADDRESS_LIFETIME.count() } });
 }
 
 http::Response EntryNode::redirect(const http::Request& request) const
--- a/src/node/internal/servicecalls.cpp
+++ b/src/node/internal/servicecalls.cpp
@@ -1,4 +1,5 @@
 #include "servicecalls.h"
+#include "fireflyhaven/http/types/status.h"
 
 #include <algorithm>
 
@@ -8,15 +9,6 @@
 
 using idempotency::CallDecision;
 using idempotency::CallEnd;
-
-constexpr int STATUS_BAD_REQUEST = 400;
-constexpr int STATUS_FORBIDDEN = 403;
-constexpr int STATUS_NOT_FOUND = 404;
-constexpr int STATUS_CONFLICT = 409;
-constexpr int STATUS_GONE = 410;
-constexpr int STATUS_UNPROCESSABLE = 422;
-constexpr int STATUS_BAD_GATEWAY = 502;
-constexpr int STATUS_UNAVAILABLE = 503;
 constexpr Duration COME_BACK { 1000 };
 // How long a claim may take to come back through the log.
 constexpr Duration CLAIM_PATIENCE { 3000 };
--- a/src/platform/internal/upstreamclient.cpp
+++ b/src/platform/internal/upstreamclient.cpp
@@ -1,6 +1,7 @@
 #include "fireflyhaven/platform/upstreamclient.h"
 
 #include "fireflyhaven/common/json.h"
+#include "fireflyhaven/http/types/status.h"
 
 namespace fireflyhaven::platform {
 
@@ -9,11 +10,6 @@
 using dispatch::RunEvent;
 using dispatch::RunEventKind;
 
-constexpr int STATUS_OK = 200;
-constexpr int STATUS_SERVER_ERROR = 500;
-constexpr int STATUS_TOO_MANY = 429;
-constexpr int STATUS_UNAVAILABLE = 503;
-
 std::string urlOf(const config::Upstream& upstream, const std::string& path)
 {
     return "http://" + upstream.ip + ":" + std::to_string(upstream.port) + path;
--- a/src/standin/internal/platformstandin.cpp
+++ b/src/standin/internal/platformstandin.cpp
@@ -1,6 +1,7 @@
 #include "fireflyhaven/standin/platformstandin.h"
 
 #include "fireflyhaven/common/json.h"
+#include "fireflyhaven/http/types/status.h"
 
 #include <absl/time/clock.h>
 
@@ -10,14 +11,11 @@
 
 namespace {
 
-constexpr int STATUS_BAD_REQUEST = 400;
-constexpr int STATUS_NOT_FOUND = 404;
-constexpr int STATUS_TOO_MANY = 429;
-constexpr int STATUS_UNAVAILABLE = 503;
-
 http::Response jsonResponse(const nlohmann::json& body)
 {
-    return { .status = 200, .headers = { { "Content-Type", "application/json" } }, .body = body.dump(), .stream = {} };
+    return {
+        .status = STATUS_OK, .headers = { { "Content-Type", "application/json" } }, .body = body.dump(), .stream = {}
+    };
 }
 
 http::Response errorResponse(int status) { return { .status = status, .headers = {}, .body = "{}", .stream = {} }; }
--- a/src/standin/internal/upstreamstandin.cpp
+++ b/src/standin/internal/upstreamstandin.cpp
@@ -2,6 +2,7 @@
 
 #include "fireflyhaven/common/hash.h"
 #include "fireflyhaven/common/json.h"
+#include "fireflyhaven/http/types/status.h"
 
 #include <absl/time/clock.h>
 
@@ -10,16 +11,11 @@
 namespace fireflyhaven::standin {
 
 namespace {
-
-constexpr int STATUS_BAD_REQUEST = 400;
-constexpr int STATUS_NOT_FOUND = 404;
-constexpr int STATUS_CONFLICT = 409;
-constexpr int STATUS_UNAVAILABLE = 503;
 constexpr std::size_t CACHED_PREFIXES = 64;
 constexpr std::size_t PREFIX_CHARACTERS = 256;
 constexpr std::size_t CHARACTERS_PER_TOKEN = 4;
 
-http::Response jsonResponse(const nlohmann::json& body, int status = 200)
+http::Response jsonResponse(const nlohmann::json& body, int status = STATUS_OK)
 {
     return {
         .status = status, .headers = { { "Content-Type", "application/json" } }, .body = body.dump(), .stream = {}
@@ -197,7 +193,9 @@
     }
     auto stream
         = std::make_shared<AnswerStream>(*this, *chat, behaviour(), isBadAnswer(chat->version), cacheHit, generation);
-    return { .status = 200, .headers = { { "Content-Type", "text/event-stream" } }, .body = {}, .stream = stream };
+    return {
+        .status = STATUS_OK, .headers = { { "Content-Type", "text/event-stream" } }, .body = {}, .stream = stream
+    };
 }
 
 bool UpstreamStandin::begin(const std::string& version, const std::string& prompt, bool& cacheHit)
