--- a/apps/bench.cpp
+++ b/apps/bench.cpp
@@ -180,6 +180,7 @@
 {
     std::mt19937_64 random(1);
     std::vector<routing::Candidate> candidates;
+    candidates.reserve(12);
     for (int n = 0; n < 12; ++n) {
         candidates.push_back({ .version = { "m" + std::to_string(n), "1" },
             .quality = 0.5 + 0.04 * n,
@@ -188,6 +189,7 @@
             .total = Duration(500) });
     }
     std::vector<routing::UpstreamOption> options;
+    options.reserve(4900 / 12);
     for (int n = 0; n < 4900 / 12; ++n)
         options.push_back({ .upstream = UpstreamId("u" + std::to_string(n)),
             .hash = random(),
--- a/src/node/internal/loadboard.cpp
+++ b/src/node/internal/loadboard.cpp
@@ -30,17 +30,19 @@
     if (now - m_refreshedAt < REFRESH_INTERVAL)
         return;
     m_refreshedAt = now;
-    m_hosts = 1;
-    m_replica.read([&](const ReplicaState& state) {
-        for (const HostId& id : state.tracker.heardHosts(now)) {
-            const membership::HostReport* report = state.tracker.reportOf(id, now);
-            ++m_hosts;
-            for (const membership::UpstreamLoad& it : report->loads)
-                m_loads[it.upstream] = { .load = it, .heardAt = now };
-            for (const membership::WorkspaceDemand& it : report->demands)
-                m_demands[{ it.workspace, id }] = { .demand = it, .heardAt = now };
-        }
+    const auto reports = m_replica.read([&](const ReplicaState& state) {
+        std::map<HostId, membership::HostReport> heard;
+        for (const HostId& id : state.tracker.heardHosts(now))
+            heard[id] = *state.tracker.reportOf(id, now);
+        return heard;
     });
+    m_hosts = 1 + static_cast<int>(reports.size());
+    for (const auto& [id, report] : reports) {
+        for (const membership::UpstreamLoad& it : report.loads)
+            m_loads[it.upstream] = { .load = it, .heardAt = now };
+        for (const membership::WorkspaceDemand& it : report.demands)
+            m_demands[{ it.workspace, id }] = { .demand = it, .heardAt = now };
+    }
     for (const membership::UpstreamLoad& it : m_executor.loads())
         m_loads[it.upstream] = { .load = it, .heardAt = now };
     std::erase_if(m_loads, [&](const auto& it) { return now - it.second.heardAt > REPORT_LIFETIME; });
--- a/tests/whole/localcluster.cpp
+++ b/tests/whole/localcluster.cpp
@@ -1,5 +1,8 @@
 #include "localcluster.h"
 
+#include "fireflyhaven/peer/peerclient.h"
+#include "peermessages.h"
+
 #include <absl/time/clock.h>
 #include <spdlog/spdlog.h>
 
@@ -13,6 +16,7 @@
 constexpr std::uint16_t HTTP_PORT = 26080;
 constexpr std::uint16_t PEER_PORT = 26081;
 constexpr std::uint16_t FIRST_UPSTREAM_PORT = 26100;
+const std::string CLUSTER_KEY = "cluster key for tests";
 const std::string OPERATOR_KEY = "operator key for tests";
 const std::string WORKSPACE_KEY = "key of ws";
 
@@ -105,7 +109,7 @@
         .httpPort = HTTP_PORT,
         .peerPort = PEER_PORT,
         .platform = ipOf(0) + ":" + std::to_string(PLATFORM_PORT),
-        .clusterKey = SecretKey::fromText("cluster key for tests").value(),
+        .clusterKey = SecretKey::fromText(CLUSTER_KEY).value(),
         .sessionKey = SecretKey::fromText("session key for tests").value(),
         .operatorKeyDigest = digestHex(OPERATOR_KEY) };
     auto node = node::Node::start(std::move(settings), m_clock);
@@ -217,6 +221,17 @@
 
 nlohmann::json LocalCluster::state(int host) { return bodyOf(admin(host, "GET", "/admin/v1/state")); }
 
+dispatch::RunEvent LocalCluster::runAtOwner(int host, const dispatch::RunRequest& request) const
+{
+    peer::PeerClient client(SecretKey::fromText(CLUSTER_KEY).value());
+    const membership::HostAddress address { .ip = ipOf(host), .peerPort = PEER_PORT };
+    const auto call = client.call(address, node::encodeMessage(node::PeerRequest(request))).value();
+    dispatch::RunEvent last;
+    for (std::string piece = call->next(Duration(10'000)); !piece.empty(); piece = call->next(Duration(10'000)))
+        last = node::decodeMessage<dispatch::RunEvent>(piece).value();
+    return last;
+}
+
 nlohmann::json LocalCluster::chatBody(bool stream, int maxTokens)
 {
     const nlohmann::json message { { "role", "user" }, { "content", "how much iron" } };
--- a/tests/whole/localcluster.h
+++ b/tests/whole/localcluster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fireflyhaven/config/configfold.h"
+#include "fireflyhaven/dispatch/types/run.h"
 #include "fireflyhaven/http/client.h"
 #include "fireflyhaven/http/server.h"
 #include "fireflyhaven/node/node.h"
@@ -42,6 +43,8 @@
     std::uint64_t engineRequests();
 
     std::string url(int host, const std::string& path) const;
+    // Hands an attempt to a host as an entry host does, past all checks of an entry host; returns the last event.
+    dispatch::RunEvent runAtOwner(int host, const dispatch::RunRequest& request) const;
     static nlohmann::json chatBody(bool stream = false, int maxTokens = 5);
     static std::string freshKey(const std::string& name);
     static nlohmann::json bodyOf(const http::CallOutcome& outcome);
--- a/tests/whole/whole_test.cpp
+++ b/tests/whole/whole_test.cpp
@@ -302,3 +302,46 @@
     cr_assert(
         LocalCluster::bodyOf(cluster.admin(1, "GET", "/admin/v1/config")) == a, "nothing is accepted without the log");
 }
+
+Test(whole, ownerChecksEverythingAgainAtTheMomentOfSending)
+{
+    LocalCluster cluster(10, 2);
+    dispatch::RunRequest request { .workspace = WorkspaceId("ws"),
+        .request = RequestId("r"),
+        .attempt = 1,
+        .upstream = UpstreamId("large1"),
+        .version = { "large", "1" },
+        .task = TaskName("chat"),
+        .prompt = "x",
+        .maxTokens = 2,
+        .priority = 5,
+        .startWithinMs = 5000,
+        .answerWithinMs = 5000 };
+    const auto codeFor = [&](const dispatch::RunRequest& it, int host = 1) {
+        const dispatch::RunEvent last = cluster.runAtOwner(host, it);
+        return last.kind == dispatch::RunEventKind::Done ? std::string("done") : last.code;
+    };
+    assertText(codeFor(request), "done");
+    assertText(codeFor(request, 0), "not_owner");
+    dispatch::RunRequest forbidden = request;
+    forbidden.upstream = UpstreamId("small1");
+    forbidden.version = { "small", "1" };
+    assertText(codeFor(forbidden), "not_allowed");
+    forbidden.task = TaskName("tag");
+    assertText(codeFor(forbidden), "done");
+    dispatch::RunRequest unknown = request;
+    unknown.workspace = WorkspaceId("nobody");
+    assertText(codeFor(unknown), "not_allowed");
+    dispatch::RunRequest elsewhere = forbidden;
+    elsewhere.upstream = UpstreamId("large1");
+    assertText(codeFor(elsewhere), "version_not_served");
+    cluster.act(0, "drain", "upstreams", "large1");
+    assertText(codeFor(request), "upstream_out_of_service");
+    cluster.act(0, "restore", "upstreams", "large1");
+    cluster.act(0, "drain", "data_centres", "dc1");
+    assertText(codeFor(request), "upstream_out_of_service");
+    cluster.act(0, "restore", "data_centres", "dc1");
+    cluster.act(0, "withdraw", "versions", "large@1");
+    assertText(codeFor(request), "version_withdrawn");
+    cr_assert_eq(cluster.engineRequests(), 2, "nothing else was sent");
+}
