An upstream stays at its cold limit until 50 answers show it warm

The ramp doubled after one round at the cold limit, whether the engine was warm or not. The fakes had not shown it, since their limit was their cold limit.

Change: the ramp stays at the cold limit for 50 answers, counted anew after every sign of cold; a stream that the upstream cuts is such a sign. Test: ramp.staysAtTheColdLimitUntilEnoughAnswersShowItWarm.

Engines that need more than 50 answers to warm up need the number in the list; that field is not there.

--- a/include/fireflyhaven/dispatch/concurrencyramp.h
+++ b/include/fireflyhaven/dispatch/concurrencyramp.h
@@ -9,6 +9,8 @@
 struct RampOptions {
     int coldLimit = 1;
     int limit = 1;
+    // Answers at the cold limit after which an upstream is taken for warm.
+    int warmAnswers = 50;
     // Load reports describe a state at most this old.
     Duration reportLag { 2000 };
     // Longest that a request of an earlier owner can still be running.
@@ -25,9 +27,9 @@
 };
 
 // Decides how many requests the owner of an upstream may have in flight: after a takeover none, until a load report
-// shows what the earlier owner left running; then the cold limit; then twice as many each time a full round of requests
-// has been answered without a sign of cold, up to the limit. Late reports may lower the allowance at once and never
-// raise it.
+// shows what the earlier owner left running; then the cold limit, until enough answers show it warm; then twice as many
+// each time a full round of requests has been answered without a sign of cold, up to the limit. Late reports may lower
+// the allowance at once and never raise it.
 class ConcurrencyRamp {
 public:
     enum class Phase { TakingOver, Cold, Warm };
@@ -59,6 +61,7 @@
     int m_inFlight = 0;
     int m_currentLimit;
     int m_answeredInRound = 0;
+    int m_answeredSinceCold = 0;
     // Requests of an earlier owner that may still be running; absent until a report has told.
     std::optional<int> m_inherited;
     std::optional<std::uint64_t> m_restarts;
--- a/src/dispatch/internal/concurrencyramp.cpp
+++ b/src/dispatch/internal/concurrencyramp.cpp
@@ -44,7 +44,7 @@
         m_usualFirstTokenMs = m_history == 0 ? ms : m_usualFirstTokenMs * (1 - HISTORY_WEIGHT) + ms * HISTORY_WEIGHT;
         ++m_history;
     }
-    if (++m_answeredInRound < m_currentLimit)
+    if (++m_answeredSinceCold < m_options.warmAnswers || ++m_answeredInRound < m_currentLimit)
         return;
     m_answeredInRound = 0;
     m_currentLimit = std::min(m_options.limit, m_currentLimit * 2);
@@ -77,6 +77,7 @@
 {
     m_currentLimit = m_options.coldLimit;
     m_answeredInRound = 0;
+    m_answeredSinceCold = 0;
 }
 
 int ConcurrencyRamp::inherited(TimePoint now) const
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 const TimePoint START { Duration(1000) };
-constexpr RampOptions OPTIONS { .coldLimit = 2, .limit = 8 };
+constexpr RampOptions OPTIONS { .coldLimit = 2, .limit = 8, .warmAnswers = 0 };
 
 // A ramp that has taken over an idle upstream.
 ConcurrencyRamp startedRamp()
@@ -72,6 +72,20 @@
     cr_assert_eq(ramp.currentLimit(), 2, "a restart");
 }
 
+Test(ramp, staysAtTheColdLimitUntilEnoughAnswersShowItWarm)
+{
+    ConcurrencyRamp ramp({ .coldLimit = 2, .limit = 8, .warmAnswers = 50 }, START);
+    ramp.onLoadReport({ .running = 0, .restarts = 1 }, LATER);
+    answer(ramp, 49);
+    cr_assert_eq(ramp.currentLimit(), 2);
+    answer(ramp, 10);
+    cr_assert_gt(ramp.currentLimit(), 2);
+    ramp.onSent();
+    ramp.onRefused();
+    answer(ramp, 49);
+    cr_assert_eq(ramp.currentLimit(), 2, "the count starts anew");
+}
+
 Test(ramp, lateReportsNeverRaiseTheAllowance)
 {
     ConcurrencyRamp ramp = startedRamp();
--- a/src/node/internal/ownerexecutor.cpp
+++ b/src/node/internal/ownerexecutor.cpp
@@ -191,7 +191,8 @@
     const bool mayRunOn = outcome.last.kind == dispatch::RunEventKind::Failed;
     if (engine && mayRunOn && platform::cancelOnEngine(upstream, request))
         m_metrics.count("attempts_cancelled");
-    if (outcome.coldRefusal)
+    // A stream that the upstream cut is a sign that it fell over.
+    if (outcome.coldRefusal || (outcome.last.code == "upstream_cut" && !outcome.stopped))
         gate.leaveRefused();
     else if (outcome.last.kind == dispatch::RunEventKind::Done)
         gate.leaveAnswered(outcome.firstToken);
