An engine's error is not told as "not run", and a refused attempt is not billed

Cause: rereading showed that any status but 200 of an engine counted as a refusal, also a 500 after it ran. The new test then showed the reverse as well: an attempt that the upstream had refused counted as maybe run, and its prompt was billed.

Change: 5xx but 503 is a failure of unknown outcome; an owner's Refused is certain, whether or not Started came before it.

--- a/include/fireflyhaven/standin/upstreamstandin.h
+++ b/include/fireflyhaven/standin/upstreamstandin.h
@@ -35,11 +35,13 @@
     bool ignoresFence = false;
     // Share of answers that are bad, by "model@version".
     std::map<std::string, double> badShare;
+    // Runs each chat request and answers with this error status; 0 for never.
+    int failStatus = 0;
     // Service answers to lose after the call took effect.
     int loseAnswers = 0;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(UpstreamBehaviour, down, refusesWhenCold, cold, warmAfter,
         prefillMsPerToken, firstTokenMs, tokenMs, reportLagMs, cutAfter, cutStreams, crossed, wrongVersion,
-        ignoresFence, badShare, loseAnswers)
+        ignoresFence, badShare, failStatus, loseAnswers)
 };
 
 struct UpstreamStats {
--- a/src/node/internal/answerrun.cpp
+++ b/src/node/internal/answerrun.cpp
@@ -52,7 +52,6 @@
     m_request.answerWithinMs = std::max<std::int64_t>(1, (m_options.answerBy - now).count());
     m_tried.insert(m_request.upstream);
     m_piecesInAttempt = 0;
-    m_sent = false;
     ++m_attempts;
     m_stream = m_deps.router.open(m_request);
     return true;
@@ -81,10 +80,8 @@
 
 std::optional<std::string> AnswerRun::handle(RunEvent event)
 {
-    if (event.kind == RunEventKind::Started) {
-        m_sent = true;
+    if (event.kind == RunEventKind::Started)
         return std::nullopt;
-    }
     if (event.kind != RunEventKind::Text) {
         finishAttempt(std::move(event));
         return std::nullopt;
@@ -123,7 +120,7 @@
             .kind = RunEventKind::Failed, .code = "answer_mismatch", .message = "the answer was not for this request"
         };
     }
-    const bool ran = m_sent || event.kind != RunEventKind::Refused;
+    const bool ran = event.kind != RunEventKind::Refused;
     if (event.kind == RunEventKind::Done)
         addCost(event.inputTokens, event.outputTokens);
     else if (ran && !m_request.version.empty())
--- a/src/node/internal/answerrun.h
+++ b/src/node/internal/answerrun.h
@@ -67,7 +67,6 @@
     std::uint64_t m_piecesInAttempt = 0;
     TimePoint m_begunAt;
     std::optional<Duration> m_firstToken;
-    bool m_sent = false;
     // An attempt was sent whose answer did not come whole.
     bool m_mayHaveRun = false;
     bool m_cancelled = false;
--- a/src/platform/internal/upstreamclient.cpp
+++ b/src/platform/internal/upstreamclient.cpp
@@ -125,6 +125,10 @@
     const int status = outcome.response.status;
     if (done) {
         result.last = std::move(*done);
+    } else if (outcome.reached == http::Reached::Answered && status >= STATUS_SERVER_ERROR
+        && status != STATUS_UNAVAILABLE) {
+        // An engine that fails may have run the request.
+        result.last = failed("upstream_error", "the upstream answered " + std::to_string(status));
     } else if (outcome.reached == http::Reached::Answered && status != STATUS_OK) {
         result.coldRefusal = status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY;
         result.last = refused("upstream_refused", "the upstream answered " + std::to_string(status));
--- a/src/standin/internal/upstreamstandin.cpp
+++ b/src/standin/internal/upstreamstandin.cpp
@@ -186,6 +186,10 @@
     bool cacheHit = false;
     if (!begin(chat->version, chat->prompt, cacheHit))
         return jsonResponse({ { "error", "cold" } }, STATUS_UNAVAILABLE);
+    if (const int status = behaviour().failStatus; status != 0) {
+        finish();
+        return jsonResponse({ { "error", "failed while running" } }, status);
+    }
     std::uint64_t generation = 0;
     {
         absl::MutexLock lock(&m_mutex);
--- a/tests/whole/whole_test.cpp
+++ b/tests/whole/whole_test.cpp
@@ -345,3 +345,14 @@
     assertText(codeFor(request), "version_withdrawn");
     cr_assert_eq(cluster.engineRequests(), 2, "nothing else was sent");
 }
+
+Test(whole, errorOfAnEngineThatRanTheRequestIsNotToldAsNotRun)
+{
+    LocalCluster cluster(11, 1);
+    cluster.upstreamFault("large0", { { "failStatus", 500 } });
+    assertRefusal(cluster.chat(0, LocalCluster::chatBody()), 502, "upstream_error", "unknown");
+    cr_assert_gt(cluster.engineRequests(), 0, "it ran");
+    cluster.upstreamFault("large0", { { "failStatus", 0 }, { "down", true } });
+    const auto refused = LocalCluster::bodyOf(cluster.chat(0, LocalCluster::chatBody()));
+    assertText(refused["run"], "not_run");
+}
