Thin path on the users' platform: one request forwarded, its answer passed back

Cause: the daemon spoke only its own interface; the platform has its own store, headers and directory.

--- a/apps/fireflyhavend.cpp
+++ b/apps/fireflyhavend.cpp
@@ -1,5 +1,7 @@
 #include "fireflyhaven/node/node.h"
 #include "fireflyhaven/settings/optionparser.h"
+#include "platform/settingsfile.h"
+#include "platformdaemon.h"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/pattern_formatter.h>
@@ -186,7 +188,8 @@
 
 int main(int argc, char** argv)
 {
-    return handleFailure([&] { return run(argc, argv); },
+    const char* platformSettings = std::getenv(platform::SETTINGS_FILE_VARIABLE);
+    return handleFailure([&] { return platformSettings ? runOnPlatform(platformSettings) : run(argc, argv); },
         [](const Failure& it) {
             std::cerr << "fireflyhavend: " << it.message << (it.message.ends_with('\n') ? "" : "\n");
             return it.code == ErrorCode::InvalidArgument ? 2 : 1;
--- a/include/fireflyhaven/platform/logservice.h
+++ b/include/fireflyhaven/adapters/logservice.h
@@ -2,11 +2,11 @@
 
 #include "fireflyhaven/common/clock.h"
 #include "fireflyhaven/common/result.h"
-#include "fireflyhaven/platform/types/log.h"
+#include "fireflyhaven/adapters/types/log.h"
 
 #include <concepts>
 
-namespace fireflyhaven::platform {
+namespace fireflyhaven::adapters {
 
 // Streams of the platform's log that the system uses.
 constexpr const char* CONTROL_STREAM = "control";
--- a/include/fireflyhaven/platform/ratingservice.h
+++ b/include/fireflyhaven/adapters/ratingservice.h
@@ -6,7 +6,7 @@
 
 #include <set>
 
-namespace fireflyhaven::platform {
+namespace fireflyhaven::adapters {
 
 // The platform's service that rates answers; rate-limited.
 class IRatingService {
--- a/include/fireflyhaven/platform/types/log.h
+++ b/include/fireflyhaven/adapters/types/log.h
@@ -4,7 +4,7 @@
 
 #include <vector>
 
-namespace fireflyhaven::platform {
+namespace fireflyhaven::adapters {
 
 struct LogItem {
     Offset offset;
--- a/include/fireflyhaven/platform/upstreamclient.h
+++ b/include/fireflyhaven/adapters/upstreamclient.h
@@ -5,7 +5,7 @@
 #include "fireflyhaven/dispatch/types/run.h"
 #include "fireflyhaven/http/client.h"
 
-namespace fireflyhaven::platform {
+namespace fireflyhaven::adapters {
 
 using RunEventReceiver = std::function<bool(dispatch::RunEvent)>;
 
--- /dev/null
+++ b/include/fireflyhaven/store/types/records.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "fireflyhaven/common/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fireflyhaven::store {
+
+// A topic of the platform's store in which the newest record of each key is kept.
+enum class Topic {
+    // What the operator wants: configuration, roll-outs, evacuations.
+    Operator,
+    // Upstreams that registered themselves.
+    Upstreams,
+    // What the system tells the operator.
+    Status,
+    // Entry hosts, with their addresses.
+    Hosts,
+};
+
+struct KeyedRecord {
+    std::string key;
+    // No value where the key was dropped.
+    std::optional<std::string> value;
+};
+
+// Records of a topic in their order.
+struct RecordBatch {
+    std::vector<KeyedRecord> records;
+    std::uint64_t nextOffset = 0;
+};
+
+// One page of the newest records of all keys.
+struct SnapshotPage {
+    std::vector<KeyedRecord> records;
+    std::uint64_t endOffset = 0;
+    // Where set, the next page begins after this key.
+    std::optional<std::string> continueAfter;
+};
+
+enum class StoreError {
+    // Nothing was done: refused, or never sent.
+    NotDone,
+    // No answer: it may have been done, or may be done later.
+    Unknown,
+    // The records asked for were deleted.
+    HistoryLost,
+    // A condition of the call did not hold.
+    ConditionFailed,
+    // An answer that does not follow the protocol.
+    Malformed,
+};
+
+}
--- a/src/platform/internal/logservice.cpp
+++ b/src/adapters/internal/logservice.cpp
@@ -1,9 +1,9 @@
-#include "fireflyhaven/platform/logservice.h"
+#include "fireflyhaven/adapters/logservice.h"
 
 #include "fireflyhaven/common/json.h"
 #include "fireflyhaven/http/client.h"
 
-namespace fireflyhaven::platform {
+namespace fireflyhaven::adapters {
 
 namespace {
 
--- a/src/platform/internal/ratingservice.cpp
+++ b/src/adapters/internal/ratingservice.cpp
@@ -1,8 +1,8 @@
-#include "fireflyhaven/platform/ratingservice.h"
+#include "fireflyhaven/adapters/ratingservice.h"
 
 #include "fireflyhaven/http/client.h"
 
-namespace fireflyhaven::platform {
+namespace fireflyhaven::adapters {
 
 HttpRatingService::HttpRatingService(const std::string& address, Duration timeout)
     : m_base("http://" + address)
--- a/src/platform/internal/upstreamclient.cpp
+++ b/src/adapters/internal/upstreamclient.cpp
@@ -1,9 +1,9 @@
-#include "fireflyhaven/platform/upstreamclient.h"
+#include "fireflyhaven/adapters/upstreamclient.h"
 
 #include "fireflyhaven/common/json.h"
 #include "fireflyhaven/http/types/status.h"
 
-namespace fireflyhaven::platform {
+namespace fireflyhaven::adapters {
 
 namespace {
 
--- /dev/null
+++ b/src/catalog/internal/catalog.cpp
@@ -0,0 +1,99 @@
+#include "fireflyhaven/catalog/catalog.h"
+
+#include "fireflyhaven/common/text.h"
+
+#include <algorithm>
+
+namespace fireflyhaven::catalog {
+
+ConfigurationChange Catalog::onConfiguration(Configuration configuration)
+{
+    if (m_configured && configuration.version == m_configuration.version)
+        return ConfigurationChange::None;
+    if (m_configured && configuration.version < m_configuration.version)
+        return ConfigurationChange::Older;
+    m_configuration = std::move(configuration);
+    m_configured = true;
+    m_routes = RouteTable(m_configuration.routes);
+    m_callers.clear();
+    for (const Workspace& workspace : m_configuration.workspaces) {
+        for (const std::string& key : workspace.keys)
+            m_callers[key] = { .workspace = workspace.id, .priority = workspace.priority };
+    }
+    return ConfigurationChange::Applied;
+}
+
+const Service* Catalog::service(const ServiceName& name) const
+{
+    const auto& services = m_configuration.services;
+    const auto it = std::find_if(services.begin(), services.end(), [&](const Service& s) { return s.name == name; });
+    return it == services.end() ? nullptr : &*it;
+}
+
+std::optional<Caller> Catalog::callerOf(std::string_view key) const
+{
+    const auto it = m_callers.find(abslView(key));
+    return it == m_callers.end() ? std::nullopt : std::optional(it->second);
+}
+
+void Catalog::onRollout(const RolloutOrder& order, TimePoint now)
+{
+    const auto it = m_rollouts.find(order.service);
+    const bool known = it != m_rollouts.end() && it->second.order.target == order.target
+        && it->second.order.duration == order.duration;
+    if (!known)
+        m_rollouts[order.service] = { .order = order, .learnedAt = now };
+}
+
+void Catalog::onRolloutWithdrawn(const ServiceName& service) { m_rollouts.erase(service); }
+
+bool Catalog::onUpstream(const Upstream& report, TimePoint now)
+{
+    const auto it = m_upstreams.find(report.id);
+    if (it != m_upstreams.end() && report.bornMs < it->second.upstream.bornMs)
+        return false;
+    const bool newLife = it == m_upstreams.end() || report.bornMs > it->second.upstream.bornMs;
+    m_upstreams[report.id] = { .upstream = report, .coldUntil = now + report.coldFor, .lapsesAt = std::nullopt };
+    return newLife;
+}
+
+void Catalog::onUpstreamGone(const UpstreamId& id, std::optional<TimePoint> usableUntil)
+{
+    const auto it = m_upstreams.find(id);
+    if (it == m_upstreams.end())
+        return;
+    const bool wasLeaving = it->second.upstream.phase == UpstreamPhase::Draining;
+    if (!usableUntil || wasLeaving) {
+        m_upstreams.erase(it);
+        return;
+    }
+    if (!it->second.lapsesAt)
+        it->second.lapsesAt = usableUntil;
+}
+
+std::vector<UpstreamId> Catalog::expireLapsed(TimePoint now)
+{
+    std::vector<UpstreamId> expired;
+    for (const auto& [id, it] : m_upstreams) {
+        if (it.lapsesAt && *it.lapsesAt <= now)
+            expired.push_back(id);
+    }
+    for (const UpstreamId& id : expired)
+        m_upstreams.erase(id);
+    return expired;
+}
+
+void Catalog::onColdSeen(const UpstreamId& id, TimePoint until)
+{
+    const auto it = m_upstreams.find(id);
+    if (it != m_upstreams.end())
+        it->second.coldUntil = std::max(it->second.coldUntil, until);
+}
+
+const UpstreamState* Catalog::upstream(const UpstreamId& id) const
+{
+    const auto it = m_upstreams.find(id);
+    return it == m_upstreams.end() ? nullptr : &it->second;
+}
+
+}
--- /dev/null
+++ b/src/http/internal/eventclient.cpp
@@ -0,0 +1,184 @@
+#include "fireflyhaven/http/eventclient.h"
+
+#include "clientconnection.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+
+namespace fireflyhaven::http {
+
+namespace {
+
+// Holds a connection for one call; the connection is closed where the call is destroyed before its end.
+class PooledCall final : public ClientCall, public IAnswerObserver {
+public:
+    PooledCall(std::shared_ptr<ClientConnection> connection, IAnswerObserver& observer)
+        : m_connection(std::move(connection))
+        , m_observer(observer)
+    {
+    }
+    PooledCall(const PooledCall&) = delete;
+    PooledCall& operator=(const PooledCall&) = delete;
+    ~PooledCall() override
+    {
+        if (m_connection)
+            m_connection->cancel();
+    }
+
+    void pause() override
+    {
+        if (m_connection)
+            m_connection->pause();
+    }
+    void resume() override
+    {
+        if (m_connection)
+            m_connection->resume();
+    }
+    bool anythingSent() const override { return m_connection && m_connection->anythingSent(); }
+
+    HeadVerdict onHead(const ResponseHead& head) override { return m_observer.onHead(head); }
+    void onPiece(std::string_view piece) override { m_observer.onPiece(piece); }
+    void onEnd() override
+    {
+        m_connection.reset();
+        m_observer.onEnd();
+    }
+    void onFailed(SendState state, const std::string& reason) override
+    {
+        m_connection.reset();
+        m_observer.onFailed(state, reason);
+    }
+
+private:
+    std::shared_ptr<ClientConnection> m_connection;
+    IAnswerObserver& m_observer;
+};
+
+class AsioClient final : public EventClient, public IConnectionOwner {
+public:
+    AsioClient(boost::asio::io_context& loop, const IClock& clock, EventClientOptions options)
+        : m_loop(loop)
+        , m_clock(clock)
+        , m_options(options)
+    {
+    }
+    AsioClient(const AsioClient&) = delete;
+    AsioClient& operator=(const AsioClient&) = delete;
+    ~AsioClient() override
+    {
+        for (auto& [peer, it] : m_peers) {
+            for (const auto& connection : it.all) {
+                connection->setOwner(nullptr);
+                connection->close();
+            }
+        }
+    }
+
+    std::unique_ptr<ClientCall> start(const Endpoint& peer, OutgoingRequest request, IAnswerObserver& observer) override
+    {
+        auto connection = request.freshConnection ? nullptr : takeIdle(peer);
+        if (!connection)
+            connection = open(peer);
+        auto call = std::make_unique<PooledCall>(connection, observer);
+        connection->send(std::move(request), *call);
+        return call;
+    }
+
+    std::size_t connectionsTo(const Endpoint& peer) const override
+    {
+        const auto it = m_peers.find(peer);
+        return it == m_peers.end() ? 0 : it->second.all.size();
+    }
+
+    std::size_t idleConnectionsTo(const Endpoint& peer) const override
+    {
+        const auto it = m_peers.find(peer);
+        return it == m_peers.end() ? 0 : it->second.idle.size();
+    }
+
+    void forget(const Endpoint& peer) override
+    {
+        const auto it = m_peers.find(peer);
+        if (it == m_peers.end())
+            return;
+        const auto idle = it->second.idle;
+        for (const auto& connection : idle)
+            connection->close();
+    }
+
+    std::uint64_t connectionsOpened() const override { return m_opened; }
+
+    void onIdle(const std::shared_ptr<ClientConnection>& connection) override
+    {
+        m_peers[connection->peer()].idle.push_back(connection);
+    }
+
+    void onClosed(const std::shared_ptr<ClientConnection>& connection) override
+    {
+        const auto it = m_peers.find(connection->peer());
+        if (it == m_peers.end())
+            return;
+        std::erase(it->second.idle, connection);
+        std::erase(it->second.all, connection);
+        if (it->second.all.empty())
+            m_peers.erase(it);
+    }
+
+private:
+    struct Peer {
+        std::vector<std::shared_ptr<ClientConnection>> all;
+        // The one used last stands at the end.
+        std::vector<std::shared_ptr<ClientConnection>> idle;
+    };
+
+    std::shared_ptr<ClientConnection> takeIdle(const Endpoint& peer)
+    {
+        const auto it = m_peers.find(peer);
+        if (it == m_peers.end())
+            return nullptr;
+        closeExpired(it->second);
+        const auto again = m_peers.find(peer);
+        if (again == m_peers.end() || again->second.idle.empty())
+            return nullptr;
+        auto connection = again->second.idle.back();
+        again->second.idle.pop_back();
+        return connection;
+    }
+
+    void closeExpired(const Peer& peer)
+    {
+        const TimePoint now = m_clock.now();
+        std::vector<std::shared_ptr<ClientConnection>> expired;
+        std::copy_if(peer.idle.begin(), peer.idle.end(), std::back_inserter(expired),
+            [&](const auto& it) { return it->isExpired(now); });
+        for (const auto& it : expired)
+            it->close();
+    }
+
+    std::shared_ptr<ClientConnection> open(const Endpoint& peer)
+    {
+        auto connection = std::make_shared<ClientConnection>(m_loop, m_clock, peer, m_options);
+        connection->setOwner(this);
+        m_peers[peer].all.push_back(connection);
+        ++m_opened;
+        return connection;
+    }
+
+    boost::asio::io_context& m_loop;
+    const IClock& m_clock;
+    const EventClientOptions m_options;
+    absl::flat_hash_map<Endpoint, Peer> m_peers;
+    std::uint64_t m_opened = 0;
+};
+
+}
+
+std::unique_ptr<EventClient> EventClient::create(
+    boost::asio::io_context& loop, const IClock& clock, EventClientOptions options)
+{
+    return std::make_unique<AsioClient>(loop, clock, options);
+}
+
+}
--- /dev/null
+++ b/src/http/internal/eventserver.cpp
@@ -0,0 +1,174 @@
+#include "fireflyhaven/http/eventserver.h"
+
+#include "serverconnection.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <boost/asio/steady_timer.hpp>
+#include <spdlog/spdlog.h>
+
+namespace fireflyhaven::http {
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+constexpr std::chrono::milliseconds TIMEOUT_SWEEP_INTERVAL { 500 };
+constexpr std::chrono::milliseconds ACCEPT_RETRY_DELAY { 100 };
+
+class AsioServer final : public EventServer, public std::enable_shared_from_this<AsioServer> {
+public:
+    AsioServer(boost::asio::io_context& loop, const IClock& clock, EventServerOptions options, ExchangeHandler handler)
+        : m_loop(loop)
+        , m_acceptor(loop)
+        , m_sweepTimer(loop)
+        , m_acceptTimer(loop)
+        , m_options(std::move(options))
+        , m_shared(std::make_shared<ServerShared>(
+              ServerShared { .clock = clock, .limits = m_options.limits, .handler = std::move(handler) }))
+    {
+    }
+
+    bool listen()
+    {
+        ErrorCodeOfIo ec;
+        const auto address = boost::asio::ip::make_address(m_options.listen.ip, ec);
+        if (ec)
+            return false;
+        m_acceptor.open(Tcp::v4(), ec);
+        m_acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
+        m_acceptor.bind({ address, m_options.listen.port }, ec);
+        if (!ec)
+            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+        return !ec;
+    }
+
+    void run()
+    {
+        accept();
+        sweep();
+    }
+
+    void stop()
+    {
+        stopListening();
+        m_stopped = true;
+        m_sweepTimer.cancel();
+        const auto connections = std::exchange(m_connections, {});
+        for (const auto& it : connections)
+            it->close();
+    }
+
+    void setLimits(const CallerLimits& limits) override { m_shared->limits = limits; }
+    void closeAfterAnswers() override { m_shared->closeAfterAnswers = true; }
+    void closeIdle() override
+    {
+        for (const auto& it : m_connections)
+            it->closeIfIdle();
+    }
+    void stopListening() override
+    {
+        ErrorCodeOfIo ec;
+        m_acceptor.close(ec);
+        m_acceptTimer.cancel();
+    }
+    std::size_t openConnections() const override { return m_connections.size(); }
+    std::size_t openExchanges() const override { return m_shared->openExchanges; }
+
+private:
+    void accept()
+    {
+        if (!m_acceptor.is_open())
+            return;
+        if (m_connections.size() >= m_options.maxConnections)
+            return acceptLater();
+        m_acceptor.async_accept([weak = weak_from_this()](ErrorCodeOfIo ec, Tcp::socket socket) {
+            if (const auto self = weak.lock())
+                self->onAccepted(ec, std::move(socket));
+        });
+    }
+
+    void onAccepted(ErrorCodeOfIo ec, Tcp::socket socket)
+    {
+        if (ec == boost::asio::error::operation_aborted)
+            return;
+        if (ec) {
+            spdlog::warn("cannot accept a connection: {}", ec.message());
+            return acceptLater();
+        }
+        const auto connection = std::make_shared<ServerConnection>(std::move(socket), m_shared);
+        m_connections.insert(connection);
+        connection->start();
+        accept();
+    }
+
+    void acceptLater()
+    {
+        m_acceptTimer.expires_after(ACCEPT_RETRY_DELAY);
+        m_acceptTimer.async_wait([weak = weak_from_this()](ErrorCodeOfIo ec) {
+            const auto self = weak.lock();
+            if (!ec && self)
+                self->accept();
+        });
+    }
+
+    void sweep()
+    {
+        if (m_stopped)
+            return;
+        for (const auto& it : m_connections)
+            it->enforceTimeouts();
+        absl::erase_if(m_connections, [](const auto& it) { return it->isClosed(); });
+        m_sweepTimer.expires_after(TIMEOUT_SWEEP_INTERVAL);
+        m_sweepTimer.async_wait([weak = weak_from_this()](ErrorCodeOfIo ec) {
+            const auto self = weak.lock();
+            if (!ec && self)
+                self->sweep();
+        });
+    }
+
+    boost::asio::io_context& m_loop;
+    Tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_sweepTimer;
+    boost::asio::steady_timer m_acceptTimer;
+    EventServerOptions m_options;
+    std::shared_ptr<ServerShared> m_shared;
+    absl::flat_hash_set<std::shared_ptr<ServerConnection>> m_connections;
+    bool m_stopped = false;
+};
+
+// Ends the server where its owner lets go of it, whatever handlers are still in the loop.
+class ServerHandle final : public EventServer {
+public:
+    explicit ServerHandle(std::shared_ptr<AsioServer> server)
+        : m_server(std::move(server))
+    {
+    }
+    ServerHandle(const ServerHandle&) = delete;
+    ServerHandle& operator=(const ServerHandle&) = delete;
+    ~ServerHandle() override { m_server->stop(); }
+
+    void setLimits(const CallerLimits& limits) override { m_server->setLimits(limits); }
+    void closeAfterAnswers() override { m_server->closeAfterAnswers(); }
+    void closeIdle() override { m_server->closeIdle(); }
+    void stopListening() override { m_server->stopListening(); }
+    std::size_t openConnections() const override { return m_server->openConnections(); }
+    std::size_t openExchanges() const override { return m_server->openExchanges(); }
+
+private:
+    std::shared_ptr<AsioServer> m_server;
+};
+
+}
+
+Result<std::unique_ptr<EventServer>> EventServer::start(
+    boost::asio::io_context& loop, const IClock& clock, EventServerOptions options, ExchangeHandler handler)
+{
+    const std::string address = options.listen.text();
+    auto server = std::make_shared<AsioServer>(loop, clock, std::move(options), std::move(handler));
+    if (!server->listen())
+        return failure(ErrorCode::Unavailable, "cannot listen on " + address);
+    server->run();
+    return std::unique_ptr<EventServer>(std::make_unique<ServerHandle>(std::move(server)));
+}
+
+}
--- /dev/null
+++ b/src/http/internal/messageparser.cpp
@@ -0,0 +1,111 @@
+#include "messageparser.h"
+
+namespace fireflyhaven::http {
+
+RequestParser::RequestParser(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes)
+{
+    header_limit(maxHeaderBytes);
+    body_limit(maxBodyBytes);
+    eager(true);
+}
+
+bool RequestParser::hasAmbiguousLength() const
+{
+    const std::string* coding = m_head.headers.find("transfer-encoding");
+    return coding && !equalsIgnoringCase(*coding, "chunked");
+}
+
+bool RequestParser::expectsContinue() const
+{
+    const std::string* expected = m_head.headers.find("expect");
+    return expected && equalsIgnoringCase(*expected, "100-continue");
+}
+
+void RequestParser::on_request_impl(verb, string_view method, string_view target, int version, ErrorCodeOfIo& ec)
+{
+    m_head.method.assign(method.data(), method.size());
+    m_head.target.assign(target.data(), target.size());
+    m_version = version;
+    ec = {};
+}
+
+void RequestParser::on_field_impl(field, string_view name, string_view value, ErrorCodeOfIo& ec)
+{
+    ec = {};
+    // Trailer fields of a chunked body are dropped: a header that arrives after the body was never checked.
+    if (!m_headerDone)
+        m_head.headers.add(std::string(name), std::string(value));
+}
+
+void RequestParser::on_header_impl(ErrorCodeOfIo& ec)
+{
+    m_headerDone = true;
+    ec = {};
+    if (hasAmbiguousLength())
+        ec = boost::beast::http::error::bad_transfer_encoding;
+}
+
+void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t>& length, ErrorCodeOfIo& ec)
+{
+    ec = {};
+    if (length)
+        m_body.reserve(*length);
+}
+
+std::size_t RequestParser::on_body_impl(string_view body, ErrorCodeOfIo& ec)
+{
+    ec = {};
+    m_body.append(body.data(), body.size());
+    return body.size();
+}
+
+std::size_t RequestParser::on_chunk_body_impl(std::uint64_t, string_view body, ErrorCodeOfIo& ec)
+{
+    return on_body_impl(body, ec);
+}
+
+ResponseParser::ResponseParser(bool answersHead, OnHead onHead, OnPiece onPiece)
+    : m_onHead(std::move(onHead))
+    , m_onPiece(std::move(onPiece))
+{
+    constexpr std::uint32_t MAX_HEADER_BYTES = 64 * 1024;
+    header_limit(MAX_HEADER_BYTES);
+    body_limit(boost::none);
+    eager(true);
+    skip(answersHead);
+}
+
+void ResponseParser::on_response_impl(int status, string_view reason, int, ErrorCodeOfIo& ec)
+{
+    m_head.status = status;
+    m_head.reason.assign(reason.data(), reason.size());
+    ec = {};
+}
+
+void ResponseParser::on_field_impl(field, string_view name, string_view value, ErrorCodeOfIo& ec)
+{
+    ec = {};
+    if (!m_headerDone)
+        m_head.headers.add(std::string(name), std::string(value));
+}
+
+void ResponseParser::on_header_impl(ErrorCodeOfIo& ec)
+{
+    m_headerDone = true;
+    ec = {};
+    m_onHead(m_head);
+}
+
+std::size_t ResponseParser::on_body_impl(string_view body, ErrorCodeOfIo& ec)
+{
+    ec = {};
+    m_onPiece({ body.data(), body.size() });
+    return body.size();
+}
+
+std::size_t ResponseParser::on_chunk_body_impl(std::uint64_t, string_view body, ErrorCodeOfIo& ec)
+{
+    return on_body_impl(body, ec);
+}
+
+}
--- a/src/node/internal/billingservice.cpp
+++ b/src/node/internal/billingservice.cpp
@@ -23,7 +23,7 @@
     , m_metrics(metrics)
     , m_replica(replica)
     , m_peers(peers)
-    , m_log(settings.platform, platform::BILLS_STREAM)
+    , m_log(settings.platform, adapters::BILLS_STREAM)
     , m_holder({ .self = settings.host, .dataCentre = settings.dataCentre })
 {
 }
@@ -194,14 +194,14 @@
 Result<nlohmann::json> summarizeBills(const std::string& platform)
 {
     constexpr std::size_t READ_BATCH = 5000;
-    platform::HttpLogService log(platform, platform::BILLS_STREAM);
+    adapters::HttpLogService log(platform, adapters::BILLS_STREAM);
     std::set<std::string> seen;
     std::map<std::string, std::pair<std::uint64_t, std::int64_t>> totals;
     std::uint64_t repeats = 0;
     Offset from(1);
     while (true) {
         BOOST_LEAF_AUTO(page, log.read(from, READ_BATCH, Duration(0)));
-        for (const platform::LogItem& item : page.items) {
+        for (const adapters::LogItem& item : page.items) {
             from = item.offset.next();
             const auto document = parseJson(item.text);
             const auto bills = document ? fromJson<std::vector<billing::Bill>>(*document) : std::nullopt;
--- a/src/node/internal/billingservice.h
+++ b/src/node/internal/billingservice.h
@@ -40,7 +40,7 @@
     Metrics& m_metrics;
     ClusterReplica& m_replica;
     peer::PeerClient& m_peers;
-    platform::HttpLogService m_log;
+    adapters::HttpLogService m_log;
     mutable absl::Mutex m_mutex;
     billing::BillHolder m_holder ABSL_GUARDED_BY(m_mutex);
     // A bill waits that nobody can copy.
--- a/src/node/internal/clusterreplica.cpp
+++ b/src/node/internal/clusterreplica.cpp
@@ -1,7 +1,7 @@
 #include "clusterreplica.h"
 
 #include "fireflyhaven/common/hash.h"
-#include "fireflyhaven/platform/ratingservice.h"
+#include "fireflyhaven/adapters/ratingservice.h"
 
 #include <spdlog/spdlog.h>
 
@@ -39,8 +39,8 @@
     , m_metrics(metrics)
     , m_hooks(std::move(hooks))
     , m_socket(std::move(socket))
-    , m_readLog(settings.platform, platform::CONTROL_STREAM)
-    , m_writeLog(settings.platform, platform::CONTROL_STREAM)
+    , m_readLog(settings.platform, adapters::CONTROL_STREAM)
+    , m_writeLog(settings.platform, adapters::CONTROL_STREAM)
     , m_state { .fold = {},
         .tracker = membership::MembershipTracker({ .self = settings.host, .region = settings.region }),
         .owners = ownership::OwnerTable() }
@@ -160,7 +160,7 @@
                 return true;
             }
             absl::MutexLock lock(&m_mutex);
-            for (const platform::LogItem& it : page.items) {
+            for (const adapters::LogItem& it : page.items) {
                 if (it.offset == m_state.fold.offset().next())
                     applyItem(it);
             }
@@ -196,12 +196,12 @@
         }
     }
     for (const membership::HostAddress& address : addresses) {
-        const std::vector<platform::LogItem> items = m_hooks.fetchFromPeer(address, from);
+        const std::vector<adapters::LogItem> items = m_hooks.fetchFromPeer(address, from);
         if (items.empty())
             continue;
         m_metrics.count("records_fetched_from_peers", items.size());
         absl::MutexLock lock(&m_mutex);
-        for (const platform::LogItem& it : items) {
+        for (const adapters::LogItem& it : items) {
             if (it.offset == m_state.fold.offset().next())
                 applyItem(it);
         }
@@ -209,7 +209,7 @@
     }
 }
 
-void ClusterReplica::applyItem(const platform::LogItem& item)
+void ClusterReplica::applyItem(const adapters::LogItem& item)
 {
     const Offset governing = m_state.fold.governingOffset();
     const auto before = livesOf(m_state.fold);
@@ -386,7 +386,7 @@
     while (!sleepOrStop(HOST_LIST_INTERVAL)) {
         const auto listed = handleFailure(
             [&]() -> Result<std::optional<std::set<HostId>>> {
-                BOOST_LEAF_AUTO(hosts, platform::readHostList(m_settings.platform));
+                BOOST_LEAF_AUTO(hosts, adapters::readHostList(m_settings.platform));
                 return std::optional(std::move(hosts));
             },
             [](const Failure&) { return std::optional<std::set<HostId>>(); });
@@ -423,11 +423,11 @@
     m_metrics.count("snapshots_written");
 }
 
-std::vector<platform::LogItem> ClusterReplica::recentRecords(Offset from) const
+std::vector<adapters::LogItem> ClusterReplica::recentRecords(Offset from) const
 {
     constexpr std::size_t MOST_RECORDS = 1000;
     absl::MutexLock lock(&m_mutex);
-    std::vector<platform::LogItem> items;
+    std::vector<adapters::LogItem> items;
     if (m_recent.empty() || m_recent.front().offset > from)
         return items;
     for (std::size_t n = from.value() - m_recent.front().offset.value(); n < m_recent.size(); ++n) {
--- a/src/node/internal/ownerexecutor.cpp
+++ b/src/node/internal/ownerexecutor.cpp
@@ -144,7 +144,7 @@
 }
 
 void OwnerExecutor::run(
-    const dispatch::RunRequest& request, const platform::RunEventReceiver& receiver, const http::Cancelled& cancelled)
+    const dispatch::RunRequest& request, const adapters::RunEventReceiver& receiver, const http::Cancelled& cancelled)
 {
     const std::string refusal = refusalOf(request);
     const std::optional<Owned> owned = ownedOf(request.upstream);
@@ -181,15 +181,15 @@
 }
 
 void OwnerExecutor::send(const config::Upstream& upstream, UpstreamGate& gate, const dispatch::RunRequest& request,
-    const platform::RunEventReceiver& receiver, const http::Cancelled& cancelled)
+    const adapters::RunEventReceiver& receiver, const http::Cancelled& cancelled)
 {
     m_metrics.count("attempts_sent");
     receiver({ .kind = dispatch::RunEventKind::Started });
     const bool engine = upstream.kind == config::UpstreamKind::Engine;
-    platform::AttemptOutcome outcome = engine ? platform::runOnEngine(upstream, request, m_clock, receiver, cancelled)
-                                              : platform::runOnService(upstream, request, cancelled);
+    adapters::AttemptOutcome outcome = engine ? adapters::runOnEngine(upstream, request, m_clock, receiver, cancelled)
+                                              : adapters::runOnService(upstream, request, cancelled);
     const bool mayRunOn = outcome.last.kind == dispatch::RunEventKind::Failed;
-    if (engine && mayRunOn && platform::cancelOnEngine(upstream, request))
+    if (engine && mayRunOn && adapters::cancelOnEngine(upstream, request))
         m_metrics.count("attempts_cancelled");
     // A stream that the upstream cut is a sign that it fell over.
     if (outcome.coldRefusal || (outcome.last.code == "upstream_cut" && !outcome.stopped))
@@ -252,7 +252,7 @@
             m_pollers.run([it, &metrics = m_metrics] {
                 const auto report = handleFailure(
                     [&]() -> Result<std::optional<dispatch::LoadReport>> {
-                        BOOST_LEAF_AUTO(load, platform::readLoad(it.upstream));
+                        BOOST_LEAF_AUTO(load, adapters::readLoad(it.upstream));
                         return std::optional(load);
                     },
                     [](const Failure&) { return std::optional<dispatch::LoadReport>(); });
--- a/src/node/internal/ownerexecutor.h
+++ b/src/node/internal/ownerexecutor.h
@@ -3,7 +3,7 @@
 #include "clusterreplica.h"
 #include "fireflyhaven/common/workerpool.h"
 #include "fireflyhaven/dispatch/types/run.h"
-#include "fireflyhaven/platform/upstreamclient.h"
+#include "fireflyhaven/adapters/upstreamclient.h"
 #include "upstreamgate.h"
 
 namespace fireflyhaven::node {
@@ -22,7 +22,7 @@
 
     void start();
     // Runs the attempt on this thread; the last event is Done, Refused or Failed.
-    void run(const dispatch::RunRequest& request, const platform::RunEventReceiver& receiver,
+    void run(const dispatch::RunRequest& request, const adapters::RunEventReceiver& receiver,
         const http::Cancelled& cancelled);
     // Owners have changed; called with the replica's lock held.
     void onGoverning(const ReplicaState& state);
@@ -46,7 +46,7 @@
     // Starts the takeover of upstreams whose right has come; returns those to poll.
     std::vector<Owned> beginTakeovers();
     void send(const config::Upstream& upstream, UpstreamGate& gate, const dispatch::RunRequest& request,
-        const platform::RunEventReceiver& receiver, const http::Cancelled& cancelled);
+        const adapters::RunEventReceiver& receiver, const http::Cancelled& cancelled);
     void pollLoop();
 
     const NodeSettings& m_settings;
--- a/src/node/internal/peermessages.h
+++ b/src/node/internal/peermessages.h
@@ -2,7 +2,7 @@
 
 #include "fireflyhaven/billing/types/bill.h"
 #include "fireflyhaven/dispatch/types/run.h"
-#include "fireflyhaven/platform/types/log.h"
+#include "fireflyhaven/adapters/types/log.h"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
--- a/src/node/internal/qualityservice.h
+++ b/src/node/internal/qualityservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "clusterreplica.h"
-#include "fireflyhaven/platform/ratingservice.h"
+#include "fireflyhaven/adapters/ratingservice.h"
 #include "fireflyhaven/quality/badversiondetector.h"
 #include "fireflyhaven/quality/estimator.h"
 
@@ -56,7 +56,7 @@
     const IClock& m_clock;
     Metrics& m_metrics;
     ClusterReplica& m_replica;
-    platform::HttpRatingService m_service;
+    adapters::HttpRatingService m_service;
     mutable absl::Mutex m_mutex;
     std::deque<Job> m_jobs ABSL_GUARDED_BY(m_mutex);
     quality::BadVersionDetector m_detector ABSL_GUARDED_BY(m_mutex);
