--- a/include/fireflyhaven/admission/admissionqueue.h
+++ b/include/fireflyhaven/admission/admissionqueue.h
@@ -43,6 +43,8 @@
     std::optional<TicketId> pop(TimePoint now);
     // Takes out the requests that can no longer meet their deadline.
     std::vector<TicketId> expire(TimePoint now);
+    // Gives a request that was popped, and could not be sent after all, its place and its workspace's turn back.
+    void putBack(const Waiting& request);
     bool remove(TicketId id);
     std::size_t size() const { return m_size; }
 
--- a/include/fireflyhaven/catalog/types/upstream.h
+++ b/include/fireflyhaven/catalog/types/upstream.h
@@ -20,6 +20,8 @@
     UpstreamPhase phase = UpstreamPhase::Ready;
     // How much longer it stays in cold start, counted from the report.
     Duration coldFor {};
+
+    friend bool operator==(const Upstream&, const Upstream&) = default;
 };
 
 }
--- /dev/null
+++ b/include/fireflyhaven/dispatch/retrybudgets.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "fireflyhaven/common/types/ids.h"
+#include "fireflyhaven/dispatch/retrybudget.h"
+
+#include <map>
+
+namespace fireflyhaven::dispatch {
+
+// A retry budget for each service. The bound over all hosts is a ratio, so that it holds for the sum where each host
+// keeps it for its own requests.
+class RetryBudgets {
+public:
+    explicit RetryBudgets(RetryOptions options)
+        : m_options(options)
+    {
+    }
+
+    void onRequest(const ServiceName& service) { budget(service).onRequest(); }
+    // Takes a send beyond the request's first one, where the budget allows it.
+    bool take(const ServiceName& service, int sendsMade) { return budget(service).take(sendsMade); }
+
+private:
+    RetryBudget& budget(const ServiceName& service) { return m_budgets.try_emplace(service, m_options).first->second; }
+
+    const RetryOptions m_options;
+    std::map<ServiceName, RetryBudget> m_budgets;
+};
+
+}
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "fireflyhaven/balancing/balancer.h"
-#include "fireflyhaven/dispatch/retrybudget.h"
 #include "fireflyhaven/entry/eventsplitter.h"
-#include "fireflyhaven/entry/types/request.h"
+#include "fireflyhaven/entry/flowcontext.h"
 #include "fireflyhaven/http/eventclient.h"
 
 namespace fireflyhaven::entry {
@@ -13,8 +11,8 @@
     http::Endpoint address;
     UpstreamOrder order;
     Duration connectTimeout {};
-    // Opens a connection of its own, so that a peer that closes an idle one can't lose the request.
-    bool freshConnection = false;
+    // Longest idle time of a connection that may be used again; no value for any.
+    std::optional<Duration> freshFor;
 };
 
 // What a request's flow tells its driver to do. At most one attempt is open at a time.
@@ -38,19 +36,12 @@
     virtual void wakeAt(TimePoint time) = 0;
 };
 
-// What the flows of one host share.
-struct FlowContext {
-    const catalog::Catalog& catalog;
-    balancing::Balancer& balancer;
-    dispatch::RetryBudget& retries;
-    // Whether what was read from the store is recent enough to act on a key.
-    std::function<bool(TimePoint)> mayUseKeys;
-};
-
-// The way of one request: received, waiting, sent, answered. A state machine without I/O.
+// The way of one request: received, waiting, sent, answered. A state machine without I/O. Never sends a second time
+// what may have run and may not be repeated, and says "not run" only of what surely was not.
 class RequestFlow {
 public:
     RequestFlow(FlowContext& context, IFlowActions& actions, CallerRequest request);
+    // Gives back what the request holds, wherever it stands.
     ~RequestFlow();
     RequestFlow(const RequestFlow&) = delete;
     RequestFlow& operator=(const RequestFlow&) = delete;
@@ -61,12 +52,20 @@
     void onAttemptEnd(TimePoint now);
     void onAttemptFailed(http::SendState state, const std::string& reason, TimePoint now);
     void onTimer(TimePoint now);
-    void onCallerGone();
+    void onCallerGone(TimePoint now);
+    // It is this request's turn; false where no upstream can take it yet.
+    bool onTurn(TimePoint now);
+    // It had to leave the waiting room for a more urgent request.
+    void onShed(TimePoint now);
+
     bool isDone() const { return m_stage == Stage::Done; }
+    admission::TicketId waitingTicket() const { return m_waitingTicket; }
 
 private:
     enum class Stage {
         Received,
+        // No upstream can take it yet.
+        Waiting,
         // An attempt is open, its head has not come.
         AwaitingHead,
         // The whole answer is collected before any of it is passed on.
@@ -78,29 +77,68 @@
 
     // Answers at once where the request can't be routed; otherwise sets route and caller.
     bool admit(TimePoint now);
-    void attempt(TimePoint now);
-    void send(const catalog::UpstreamState& target, TimePoint now);
-    void attemptOver();
-    // Tries another upstream where the rules allow it; `ran` tells whether the last one may have run the request.
-    bool tryAgain(bool ran, TimePoint now);
-    void giveUp(bool ran);
-    void onBroken(bool ran, TimePoint now);
+    bool identify(TimePoint now);
+    void chooseService();
+    // Sends the request, lets it wait, or refuses it.
+    void dispatch(TimePoint now);
+    bool trySend(TimePoint now);
+    void waitOrRefuse(TimePoint now);
+    balancing::Demand demand(std::size_t model) const;
+    // The demand with the versions that the request may go to.
+    balancing::Demand demandFor(std::size_t model, TimePoint now) const;
+    admission::WaitingRequest waitingRequest() const;
+    void send(balancing::Ticket ticket, TimePoint now);
+    void startAttempt(const catalog::Upstream& upstream, TimePoint now);
+    // The open attempt is over; its upstream is told of by the outcome.
+    void attemptOver(balancing::SendOutcome outcome, TimePoint now);
+    void onBroken(bool ran, std::string_view reason, TimePoint now);
+    void sendAgain(std::string_view reason, TimePoint now);
+    // Gives up an attempt without progress, where another one may follow.
+    void onNoProgress(TimePoint now);
+    TimePoint nextEventBy(TimePoint now) const;
+    bool mayTryAgain(bool ran, TimePoint now) const;
+    // Asks a larger model where the answer's confidence is too low; true where it does.
+    bool escalate(TimePoint now);
+    void judgeVersion(bool good, TimePoint now);
+    bool isFarTooSlow(TimePoint now) const;
+    void onWholeAnswer(TimePoint now);
     void passEvent(const StreamEvent& event);
-    void answerOwn(int status, std::optional<Duration> retryAfter = std::nullopt);
+    void giveUp(std::string_view reason, TimePoint now);
+    void refuse(int status, std::optional<Duration> retryAfter, std::string_view reason, TimePoint now);
+    void answerOwn(
+        FlowStep step, int status, std::optional<Duration> retryAfter, std::string_view reason, TimePoint now);
     void end();
+    void arm();
+    void report(FlowEvent event, TimePoint now);
+    FlowEvent event(FlowStep step, std::string_view reason = {}) const;
+    std::uint64_t sessionHash() const;
+    void noteSession(TimePoint now);
+    bool choosesModel() const { return !m_models.empty(); }
 
     FlowContext& m_context;
     IFlowActions& m_actions;
     const CallerRequest m_request;
+    const admission::TicketId m_waitingTicket;
     Stage m_stage = Stage::Received;
     std::shared_ptr<const catalog::Route> m_route;
     std::optional<catalog::Caller> m_caller;
+    ServiceName m_service;
+    routing::ModelPrices m_models;
+    std::size_t m_model = 0;
+    TimePoint m_receivedAt {};
     TimePoint m_deadline {};
-    // Upstreams that this request was sent to.
-    std::vector<UpstreamId> m_tried;
-    std::optional<UpstreamId> m_upstream;
+    // Without progress until then the open attempt is given up; no value where it is left to the deadline.
+    std::optional<TimePoint> m_attemptDeadline;
+    // Upstreams that are not asked again for this request.
+    std::vector<UpstreamId> m_excluded;
+    // Sends that an upstream may have received.
+    int m_sends = 0;
+    int m_connectFailures = 0;
     // Whether an upstream may have run the request.
     bool m_mayHaveRun = false;
+    std::optional<balancing::Ticket> m_ticket;
+    catalog::SoftwareVersion m_version;
+    bool m_sentToCold = false;
     AnswerFacts m_facts;
     http::ResponseHead m_head;
     std::string m_collected;
--- a/include/fireflyhaven/entry/types/request.h
+++ b/include/fireflyhaven/entry/types/request.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fireflyhaven/catalog/types/configuration.h"
+#include "fireflyhaven/balancing/types/demand.h"
 
 #include <optional>
 #include <vector>
@@ -8,14 +8,6 @@
 namespace fireflyhaven::entry {
 
 using AttemptId = StrongId<struct CallerAttemptTag>;
-using PromptPartId = StrongNumber<struct PromptPartTag>;
-
-// A part of a prompt; requests that begin with the same parts share them.
-struct PromptPart {
-    PromptPartId id;
-    std::uint32_t tokens = 0;
-};
-
 // What a caller's request says of itself.
 struct CallerRequest {
     // Identifies one attempt of the caller; empty where it sent none.
@@ -34,7 +26,7 @@
     // The caller's estimate of the tokens that will be generated; 0 where it gave none.
     std::uint32_t expectedOutputTokens = 0;
     // In the order of the prompt; the last one belongs to the request itself or to its session.
-    std::vector<PromptPart> promptParts;
+    std::vector<balancing::PromptPart> promptParts;
     // Event after which a stream is to go on.
     std::optional<std::uint64_t> lastEventId;
 };
--- /dev/null
+++ b/include/fireflyhaven/fleet/types/hostreport.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "fireflyhaven/common/types/ids.h"
+#include "fireflyhaven/http/types/endpoint.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace fireflyhaven::fleet {
+
+// Hash of an id that fits into a report; equal on all hosts.
+using ShortHash = std::uint32_t;
+
+// List whose length takes two bytes in a report, so that a malformed one can't ask for much memory.
+template <typename Item> struct ShortList {
+    std::vector<Item> items;
+
+    friend bool operator==(const ShortList&, const ShortList&) = default;
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        auto n = static_cast<std::uint16_t>(items.size());
+        archive(n);
+        items.resize(n);
+        for (Item& it : items)
+            archive(it);
+    }
+};
+
+// What a host has under way at one upstream, and what it has seen of it since its start.
+struct UpstreamCounters {
+    ShortHash upstream = 0;
+    std::uint16_t inFlight = 0;
+    // Expected time to read the prompts that this host sent and whose first token has not come.
+    std::uint32_t pendingPrefillMs = 0;
+    // Answers since the start; the counts only grow.
+    std::uint32_t good = 0;
+    std::uint32_t failed = 0;
+
+    friend bool operator==(const UpstreamCounters&, const UpstreamCounters&) = default;
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(upstream, inFlight, pendingPrefillMs, good, failed);
+    }
+};
+
+// Answers of a version on trial, by route; the counts only grow.
+struct TrialCounters {
+    // Names service and target version.
+    ShortHash rollout = 0;
+    ShortHash route = 0;
+    std::uint32_t good = 0;
+    std::uint32_t bad = 0;
+    // Bitmap of hashed upstreams that gave a bad answer.
+    std::uint32_t badUpstreams = 0;
+
+    friend bool operator==(const TrialCounters&, const TrialCounters&) = default;
+    template <typename Archive> void serialize(Archive& archive) { archive(rollout, route, good, bad, badUpstreams); }
+};
+
+// How a host sees a roll-out.
+struct RolloutView {
+    // Names service and target version.
+    ShortHash rollout = 0;
+    // Since the host learned of the order.
+    std::uint32_t ageMs = 0;
+    // The version is bad, as this host has concluded or heard.
+    bool rejected = false;
+    bool completed = false;
+
+    friend bool operator==(const RolloutView&, const RolloutView&) = default;
+    template <typename Archive> void serialize(Archive& archive) { archive(rollout, ageMs, rejected, completed); }
+};
+
+// A session that stays on the earlier version while it is at work.
+struct PinnedSession {
+    std::uint64_t session = 0;
+    // Since its last request.
+    std::uint32_t ageMs = 0;
+
+    friend bool operator==(const PinnedSession&, const PinnedSession&) = default;
+    template <typename Archive> void serialize(Archive& archive) { archive(session, ageMs); }
+};
+
+// What a host tells the others, several times a second.
+struct HostReport {
+    HostId host;
+    // Names one run of the host's process; a later run has a greater one.
+    std::uint64_t life = 0;
+    std::uint32_t sequence = 0;
+    http::Endpoint frontend;
+    DataCentreId dataCentre;
+    // Callers may be sent here.
+    bool takesCallers = false;
+    // This host's own calls to the store succeed.
+    bool reachesStore = false;
+    // Upstreams whose counters changed since the last report.
+    ShortList<UpstreamCounters> upstreams;
+    ShortList<TrialCounters> trials;
+    ShortList<RolloutView> rollouts;
+    // Sessions of the range on trial that stay on the earlier version.
+    ShortList<PinnedSession> pinnedSessions;
+    // Addresses for reports of some other hosts, so that each learns of all.
+    ShortList<http::Endpoint> otherHosts;
+
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(host, life, sequence, frontend, dataCentre, takesCallers, reachesStore, upstreams, trials, rollouts,
+            pinnedSessions, otherHosts);
+    }
+};
+
+// Encodes a report as a datagram.
+std::string encodeReport(const HostReport& report);
+// No value where the datagram is malformed.
+std::optional<HostReport> decodeReport(const std::string& datagram);
+
+}
--- a/include/fireflyhaven/http/eventclient.h
+++ b/include/fireflyhaven/http/eventclient.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace fireflyhaven::http {
 
@@ -46,8 +47,8 @@
     RequestHead head;
     std::shared_ptr<const std::string> body;
     Duration connectTimeout { 1000 };
-    // Opens a connection for this request, whatever idle ones there are.
-    bool freshConnection = false;
+    // Longest idle time of a connection that may be used again; no value for any.
+    std::optional<Duration> freshFor;
 };
 
 struct EventClientOptions {
--- a/include/fireflyhaven/http/types/endpoint.h
+++ b/include/fireflyhaven/http/types/endpoint.h
@@ -22,7 +22,15 @@
     {
         return H::combine(std::move(h), it.ip, it.port);
     }
-    template <typename Archive> void serialize(Archive& archive) { archive(ip, port); }
+    // As the number that the address stands for, in the host's byte order.
+    std::uint32_t ipNumber() const;
+    void setIpNumber(std::uint32_t number);
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        std::uint32_t number = ipNumber();
+        archive(number, port);
+        setIpNumber(number);
+    }
 };
 
 }
--- a/include/fireflyhaven/store/keyedfeed.h
+++ b/include/fireflyhaven/store/keyedfeed.h
@@ -39,6 +39,8 @@
 class KeyedFeed {
 public:
     explicit KeyedFeed(FeedOptions options);
+    // Holds from the next request on, for a source that is asked in another manner.
+    void setOptions(const FeedOptions& options) { m_options = options; }
 
     // The next request to make; no value while one is under way or none is due.
     std::optional<FeedRequest> poll(TimePoint now);
@@ -61,7 +63,7 @@
 private:
     void onSucceeded(TimePoint now);
 
-    const FeedOptions m_options;
+    FeedOptions m_options;
     bool m_tailing = false;
     bool m_waiting = false;
     TimePoint m_dueAt {};
--- a/include/fireflyhaven/store/types/records.h
+++ b/include/fireflyhaven/store/types/records.h
@@ -25,12 +25,16 @@
     std::string key;
     // No value where the key was dropped.
     std::optional<std::string> value;
+    // The key may have been dropped only because its writer could not reach the store, and may be back at once.
+    bool mayReturn = false;
 };
 
 // Records of a topic in their order.
 struct RecordBatch {
     std::vector<KeyedRecord> records;
     std::uint64_t nextOffset = 0;
+    // How old the knowledge of the source was that answered; zero for the store itself.
+    Duration sourceAge {};
 };
 
 // One page of the newest records of all keys.
@@ -39,6 +43,7 @@
     std::uint64_t endOffset = 0;
     // Where set, the next page begins after this key.
     std::optional<std::string> continueAfter;
+    Duration sourceAge {};
 };
 
 enum class StoreError {
--- a/src/admission/internal/admissionqueue.cpp
+++ b/src/admission/internal/admissionqueue.cpp
@@ -51,6 +51,15 @@
     return std::nullopt;
 }
 
+void AdmissionQueue::putBack(const Waiting& request)
+{
+    Lane& lane = m_levels[request.priority][request.workspace];
+    lane.weight = std::max(1, request.weight);
+    lane.finish -= 1.0 / lane.weight;
+    lane.requests.emplace(request.startBy, request);
+    ++m_size;
+}
+
 std::vector<TicketId> AdmissionQueue::expire(TimePoint now)
 {
     std::vector<TicketId> expired;
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -7,54 +7,106 @@
 namespace {
 
 // A read of the operator's records may wait this long for news.
-constexpr Duration OPERATOR_WAIT { 1000 };
+constexpr Duration OPERATOR_WAIT { 700 };
 constexpr Duration UPSTREAM_INTERVAL { 700 };
-// The key check stays this far inside the bound for keys that were taken away.
-constexpr Duration REVOCATION_MARGIN { 500 };
+constexpr Duration STATUS_INTERVAL { 3000 };
+// A read from another host may wait this long for news.
+constexpr Duration RELAY_WAIT { 600 };
+// What another host knew longer ago is read from the store instead.
+constexpr Duration OLDEST_RELAYED { 2500 };
+// Reads that failed for this long may have been the store's outage, in which registrations lapse.
+constexpr Duration OUTAGE { 1000 };
+// Upstreams that live are registered again within this time after an outage.
+constexpr Duration REGISTERED_AGAIN { 2300 };
 
 template <typename... Handlers> struct Overloaded : Handlers... {
     using Handlers::operator()...;
 };
 template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
+const char* topicText(store::Topic topic)
+{
+    switch (topic) {
+    case store::Topic::Operator:
+        return "operator";
+    case store::Topic::Upstreams:
+        return "upstreams";
+    case store::Topic::Status:
+        return "status";
+    case store::Topic::Hosts:
+        return "hosts";
+    }
+    return "";
+}
+
 }
 
-CatalogSync::CatalogSync(boost::asio::io_context& loop, const IClock& clock, const IWireCodec& codec,
-    store::IRecordStore& store, catalog::Catalog& catalog, const EntrySettings& settings)
-    : m_clock(clock)
-    , m_codec(codec)
-    , m_store(store)
-    , m_catalog(catalog)
-    , m_settings(settings)
+CatalogSync::CatalogSync(SyncParts parts)
+    : m_parts(std::move(parts))
+    , m_relayServer(m_parts.loop, m_parts.clock, [this](store::Topic topic) { return confirmedAt(topic); })
+    , m_relayClient(m_parts.loop, m_parts.clock)
     , m_operator { .topic = store::Topic::Operator,
-        .state = store::KeyedFeed({ .wait = OPERATOR_WAIT }),
-        .timer = boost::asio::steady_timer(loop) }
+        .state = store::KeyedFeed({}),
+        .timer = boost::asio::steady_timer(m_parts.loop) }
     , m_upstreams { .topic = store::Topic::Upstreams,
-        .state = store::KeyedFeed({ .interval = UPSTREAM_INTERVAL }),
-        .timer = boost::asio::steady_timer(loop) }
+        .state = store::KeyedFeed({}),
+        .timer = boost::asio::steady_timer(m_parts.loop) }
+    , m_statuses {
+        .topic = store::Topic::Status, .state = store::KeyedFeed({}), .timer = boost::asio::steady_timer(m_parts.loop)
+    }
 {
 }
 
 CatalogSync::~CatalogSync() { *m_alive = false; }
 
-void CatalogSync::start(std::function<void()> onConfiguration)
+Result<void> CatalogSync::listen(const http::Endpoint& relayAddress) { return m_relayServer.listen(relayAddress); }
+
+void CatalogSync::start()
 {
-    m_onConfiguration = std::move(onConfiguration);
+    drive(m_statuses);
     drive(m_operator);
     drive(m_upstreams);
 }
 
-bool CatalogSync::mayUseKeys(TimePoint now) const
+std::optional<TimePoint> CatalogSync::confirmedAt(store::Topic topic) const
+{
+    for (const Feed* feed : { &m_operator, &m_upstreams, &m_statuses }) {
+        if (feed->topic == topic)
+            return feed->state.confirmedAt();
+    }
+    return std::nullopt;
+}
+
+void CatalogSync::tick(TimePoint now)
+{
+    for (const UpstreamId& id : m_parts.catalog.expireLapsed(now)) {
+        spdlog::info("upstream {} did not register again", id.value());
+        m_parts.listener.onUpstreamGone(id);
+    }
+}
+
+store::FeedOptions CatalogSync::optionsFor(const Feed& feed, bool fromStore) const
 {
-    const auto confirmed = m_operator.state.confirmedAt();
-    return confirmed && now - *confirmed < m_settings.bounds.revocation - REVOCATION_MARGIN;
+    if (!fromStore)
+        return { .interval = Duration(0), .wait = RELAY_WAIT };
+    switch (feed.topic) {
+    case store::Topic::Operator:
+        return { .interval = Duration(0), .wait = OPERATOR_WAIT };
+    case store::Topic::Upstreams:
+        return { .interval = UPSTREAM_INTERVAL };
+    default:
+        return { .interval = STATUS_INTERVAL };
+    }
 }
 
 void CatalogSync::drive(Feed& feed)
 {
-    const TimePoint now = m_clock.now();
+    const TimePoint now = m_parts.clock.now();
+    const fleet::HostTable* hosts = m_parts.hosts();
+    const auto source = hosts ? m_choice.source(*hosts, now) : std::nullopt;
+    feed.state.setOptions(optionsFor(feed, !source));
     if (const auto due = feed.state.poll(now))
-        return request(feed, *due);
+        return request(feed, *due, source);
     const auto next = feed.state.nextPoll();
     if (!next)
         return;
@@ -65,94 +117,174 @@
     });
 }
 
-void CatalogSync::request(Feed& feed, const store::FeedRequest& request)
+void CatalogSync::request(Feed& feed, const store::FeedRequest& request, const std::optional<HostId>& source)
 {
-    const auto finish = [this, &feed](const auto& outcome, auto&& onValue) {
-        if (outcome.value) {
-            onValue(*outcome.value);
-        } else {
-            if (!feed.state.failingSince())
-                spdlog::warn("store lost: topic {}, {}", static_cast<int>(feed.topic), outcome.reason);
-            feed.state.onFailed(outcome.error, m_clock.now());
-        }
+    const bool fromStore = !source;
+    const auto finish = [this, &feed, fromStore](const auto& outcome, auto&& onValue) {
+        const TimePoint now = m_parts.clock.now();
+        const bool tooOld = outcome.value && outcome.value->sourceAge > OLDEST_RELAYED;
+        if (!outcome.value || tooOld)
+            onFailed(feed, fromStore, outcome.value ? store::StoreError::NotDone : outcome.error,
+                tooOld ? "the other host's knowledge is old" : outcome.reason);
+        else
+            onValue(*outcome.value, now);
         drive(feed);
     };
-    if (request.kind == store::FeedRequest::Kind::ReadNewest) {
-        m_store.readNewest(feed.topic, request.after, [this, alive = m_alive, &feed, finish](const auto& outcome) {
-            if (!*alive)
-                return;
-            finish(outcome, [&](const store::SnapshotPage& page) {
-                if (const auto update = feed.state.onPage(page, m_clock.now()))
-                    take(feed, *update);
-            });
+    const auto onPage = [this, alive = m_alive, &feed, finish, fromStore](const auto& outcome) {
+        if (!*alive)
+            return;
+        finish(outcome, [&](const store::SnapshotPage& page, TimePoint now) {
+            onSucceeded(feed, fromStore);
+            if (auto update = feed.state.onPage(page, now))
+                take(feed, std::move(*update));
         });
-        return;
-    }
-    m_store.read(feed.topic, request.offset, request.wait, [this, alive = m_alive, &feed, finish](const auto& outcome) {
+    };
+    const auto onBatch = [this, alive = m_alive, &feed, finish, fromStore](const auto& outcome) {
         if (!*alive)
             return;
-        finish(
-            outcome, [&](const store::RecordBatch& batch) { take(feed, feed.state.onRecords(batch, m_clock.now())); });
-    });
+        finish(outcome, [&](const store::RecordBatch& batch, TimePoint now) {
+            onSucceeded(feed, fromStore);
+            take(feed, feed.state.onRecords(batch, now));
+        });
+    };
+    const bool snapshot = request.kind == store::FeedRequest::Kind::ReadNewest;
+    if (fromStore) {
+        snapshot ? m_parts.store.readNewest(feed.topic, request.after, onPage)
+                 : m_parts.store.read(feed.topic, request.offset, request.wait, onBatch);
+        return;
+    }
+    const http::Endpoint host = m_parts.hosts()->hosts().at(*source).peerAddress;
+    snapshot ? m_relayClient.readNewest(host, feed.topic, onPage)
+             : m_relayClient.read(host, feed.topic, request.offset, request.wait, onBatch);
+}
+
+void CatalogSync::onSucceeded(Feed& feed, bool fromStore)
+{
+    feed.failedSince = feed.state.failingSince();
+    if (!fromStore)
+        return;
+    m_choice.onStoreRead(true, m_parts.clock.now());
+    if (std::exchange(m_storeLost, false))
+        spdlog::info("store regained");
 }
 
-void CatalogSync::take(Feed& feed, const store::FeedUpdate& update)
+void CatalogSync::onFailed(Feed& feed, bool fromStore, store::StoreError error, const std::string& reason)
 {
-    const std::set<std::string> before = update.replacesAll ? std::exchange(feed.keys, {}) : std::set<std::string>();
-    for (const store::KeyedRecord& it : update.records)
-        takeRecord(feed, it);
-    for (const std::string& key : before) {
-        if (!feed.keys.contains(key))
-            takeRecord(feed, { .key = key, .value = std::nullopt });
+    const TimePoint now = m_parts.clock.now();
+    feed.state.onFailed(error, now);
+    if (error == store::StoreError::HistoryLost) {
+        spdlog::info("history of topic {} is gone, starting over", topicText(feed.topic));
+        return;
+    }
+    if (!fromStore) {
+        spdlog::info("cannot read topic {} from another host: {}", topicText(feed.topic), reason);
+        m_choice.onPeerFailed(now);
+        feed.state.hurry(now);
+        return;
     }
+    m_choice.onStoreRead(false, now);
+    if (!std::exchange(m_storeLost, true))
+        spdlog::warn("store lost: topic {}: {}", topicText(feed.topic), reason);
 }
 
-void CatalogSync::takeRecord(Feed& feed, const store::KeyedRecord& record)
+void CatalogSync::take(Feed& feed, store::FeedUpdate update)
+{
+    if (update.replacesAll) {
+        const std::set<std::string> before = std::exchange(feed.keys, {});
+        std::set<std::string> present;
+        for (const store::KeyedRecord& it : update.records)
+            present.insert(it.key);
+        for (const std::string& key : before) {
+            if (!present.contains(key))
+                takeRecord(feed, { .key = key, .value = std::nullopt, .mayReturn = wasOutage(feed) });
+        }
+    }
+    std::vector<bool> significant;
+    const bool afterOutage = wasOutage(feed);
+    for (store::KeyedRecord& it : update.records) {
+        it.mayReturn = it.mayReturn || (!it.value && afterOutage);
+        significant.push_back(takeRecord(feed, it));
+    }
+    m_relayServer.onUpdate(feed.topic, update, significant, feed.state.offset());
+}
+
+bool CatalogSync::takeRecord(Feed& feed, const store::KeyedRecord& record)
 {
     if (record.value)
         feed.keys.insert(record.key);
     else
         feed.keys.erase(record.key);
+    if (feed.topic == store::Topic::Upstreams)
+        return takeUpstreamRecord(record);
     if (feed.topic == store::Topic::Operator)
         takeOperatorRecord(record);
-    else
-        takeUpstreamRecord(record);
+    else if (const auto status = m_parts.codec.decodeRolloutStatus(record))
+        m_parts.listener.onRolloutStatus(*status);
+    return true;
 }
 
 void CatalogSync::takeOperatorRecord(const store::KeyedRecord& record)
 {
-    const TimePoint now = m_clock.now();
+    const TimePoint now = m_parts.clock.now();
+    catalog::Catalog& catalog = m_parts.catalog;
     std::visit(Overloaded {
                    [&](catalog::Configuration&& it) {
-                       const auto version = it.version;
-                       if (m_catalog.onConfiguration(std::move(it)) != catalog::ConfigurationChange::Applied)
+                       if (catalog.onConfiguration(std::move(it)) != catalog::ConfigurationChange::Applied)
                            return;
-                       spdlog::info("configuration {} in force", version.value());
-                       m_onConfiguration();
+                       spdlog::info(
+                           "configuration {} in force, {} routes", catalog.version().value(), catalog.routes().size());
+                       m_parts.listener.onConfiguration();
+                   },
+                   [&](catalog::RolloutOrder&& it) {
+                       catalog.onRollout(it, now);
+                       m_parts.listener.onRolloutOrder(it);
+                   },
+                   [&](catalog::RolloutWithdrawn&& it) {
+                       catalog.onRolloutWithdrawn(it.service);
+                       m_parts.listener.onRolloutWithdrawn(it.service);
                    },
-                   [&](catalog::RolloutOrder&& it) { m_catalog.onRollout(it, now); },
-                   [&](catalog::RolloutWithdrawn&& it) { m_catalog.onRolloutWithdrawn(it.service); },
                    [&](catalog::EvacuationChange&& it) {
+                       spdlog::info("data centre {} {}", it.dataCentre.value(),
+                           it.evacuated ? "is evacuated" : "is back in service");
                        if (it.evacuated)
-                           m_catalog.onEvacuation(it.dataCentre);
+                           catalog.onEvacuation(it.dataCentre);
                        else
-                           m_catalog.onEvacuationEnded(it.dataCentre);
+                           catalog.onEvacuationEnded(it.dataCentre);
                    },
                    [&](catalog::UnreadableRecord&& it) {
                        spdlog::warn("record {} of the operator is not understood: {}", it.key, it.reason);
                    },
                },
-        m_codec.decodeOperatorRecord(record));
+        m_parts.codec.decodeOperatorRecord(record));
 }
 
-void CatalogSync::takeUpstreamRecord(const store::KeyedRecord& record)
+// Where reads failed for a while the store may have been away, and registrations may have lapsed for that alone.
+bool CatalogSync::wasOutage(const Feed& feed) const
 {
-    const TimePoint now = m_clock.now();
-    const auto upstream = m_codec.decodeUpstreamRecord(record);
-    if (upstream)
-        m_catalog.onUpstream(*upstream, now);
-    else
-        m_catalog.onUpstreamGone(UpstreamId(record.key), std::nullopt);
+    return feed.failedSince && m_parts.clock.now() - *feed.failedSince >= OUTAGE;
+}
+
+bool CatalogSync::takeUpstreamRecord(const store::KeyedRecord& record)
+{
+    const UpstreamId id(record.key);
+    const TimePoint now = m_parts.clock.now();
+    const auto report = m_parts.codec.decodeUpstreamRecord(record);
+    const catalog::UpstreamState* known = m_parts.catalog.upstream(id);
+    if (!report) {
+        if (!known)
+            return record.value.has_value();
+        m_parts.catalog.onUpstreamGone(id, record.mayReturn ? std::optional(now + REGISTERED_AGAIN) : std::nullopt);
+        if (!m_parts.catalog.upstream(id))
+            m_parts.listener.onUpstreamGone(id);
+        return true;
+    }
+    const std::optional<catalog::UpstreamState> before = known ? std::optional(*known) : std::nullopt;
+    const bool newLife = m_parts.catalog.onUpstream(*report, now);
+    const catalog::UpstreamState* after = m_parts.catalog.upstream(id);
+    const bool changed = !before || before->upstream != after->upstream || before->lapsesAt != after->lapsesAt;
+    if (changed)
+        m_parts.listener.onUpstreamChanged(after->upstream, newLife);
+    return changed;
 }
 
 }
--- /dev/null
+++ b/src/entry/internal/conductor.cpp
@@ -0,0 +1,103 @@
+#include "conductor.h"
+
+#include <spdlog/spdlog.h>
+
+namespace fireflyhaven::entry {
+
+namespace {
+constexpr Duration RETRY { 300 };
+const std::string PRODUCER = "rollouts";
+
+const char* phaseText(catalog::RolloutPhase phase)
+{
+    switch (phase) {
+    case catalog::RolloutPhase::Running:
+        return "running";
+    case catalog::RolloutPhase::Completed:
+        return "completed";
+    case catalog::RolloutPhase::RolledBack:
+        return "rolled back";
+    }
+    return "";
+}
+}
+
+Conductor::Conductor(ConductorParts parts)
+    : m_parts(parts)
+{
+}
+
+Conductor::~Conductor() { *m_alive = false; }
+
+void Conductor::noteCapacity(TimePoint now)
+{
+    for (const ServiceName& service : m_parts.board.services()) {
+        const auto target = m_parts.board.targetOf(service);
+        rollout::VersionCapacity capacity;
+        for (const auto& [id, it] : m_parts.catalog.upstreams()) {
+            if (it.upstream.service != service || !it.isReady(now)
+                || m_parts.catalog.isEvacuated(it.upstream.dataCentre))
+                continue;
+            const bool isNew = it.upstream.version == target;
+            (isNew ? capacity.newSlots : capacity.oldSlots) += it.upstream.slots;
+            capacity.newUpstreams += isNew ? 1 : 0;
+        }
+        m_parts.board.onCapacity(service, capacity);
+    }
+}
+
+int Conductor::oldInFlight(const ServiceName& service) const
+{
+    const auto target = m_parts.board.targetOf(service);
+    int n = 0;
+    for (const auto& [id, it] : m_parts.catalog.upstreams()) {
+        if (it.upstream.service != service || it.upstream.version == target)
+            continue;
+        n += m_parts.balancer.inFlight(id) + static_cast<int>(m_parts.peers.at(fleet::shortHashOf(id)).inFlight);
+    }
+    return n;
+}
+
+void Conductor::tick(bool isWriter, TimePoint now)
+{
+    noteCapacity(now);
+    if (!isWriter) {
+        m_fence.reset();
+        return;
+    }
+    if (m_writing || now < m_retryAt)
+        return;
+    for (const ServiceName& service : m_parts.board.services()) {
+        if (const auto status = m_parts.board.statusDue(service, oldInFlight(service), now))
+            return write(*status);
+    }
+}
+
+void Conductor::write(const catalog::RolloutStatus& status)
+{
+    // A later writer has a later wall clock, or is refused until it has.
+    if (!m_fence) {
+        const auto epoch = static_cast<std::uint64_t>(m_parts.clock.wallNow().time_since_epoch().count());
+        m_fence = store::Fence { .producer = PRODUCER, .epoch = epoch, .sequence = 0 };
+    }
+    m_writing = true;
+    spdlog::info(
+        "roll-out of {} to {}: writing {}", status.service.value(), status.target.value(), phaseText(status.phase));
+    m_parts.store.put(store::Topic::Status, m_parts.codec.encodeRolloutStatus(status), m_fence,
+        [this, alive = m_alive, status](const auto& outcome) {
+            if (!*alive)
+                return;
+            m_writing = false;
+            if (outcome.value) {
+                if (m_fence)
+                    ++m_fence->sequence;
+                return m_parts.board.onStatus(status);
+            }
+            spdlog::warn("status of the roll-out of {} not written: {}", status.service.value(), outcome.reason);
+            m_retryAt = m_parts.clock.now() + RETRY;
+            // Whether the call was done is not known: a new epoch makes its sequence number irrelevant.
+            m_fence.reset();
+        });
+}
+
+}
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -1,23 +1,46 @@
 #include "fireflyhaven/entry/entryhost.h"
 
 #include "catalogsync.h"
+#include "conductor.h"
+#include "decisionlog.h"
+#include "fireflyhaven/common/hash.h"
 #include "fireflyhaven/http/eventserver.h"
 #include "fireflyhaven/http/types/status.h"
-#include "requestdriver.h"
+#include "fleetlink.h"
+#include "frontdoor.h"
 
-#include <boost/asio/post.hpp>
 #include <spdlog/spdlog.h>
 
-#include <list>
-
 namespace fireflyhaven::entry {
 
 namespace {
 
+constexpr Duration TICK { 100 };
+// Waiting requests are tried at this interval, beside after each answer.
+constexpr Duration PUMP { 20 };
 constexpr Duration DIRECTORY_LIFETIME { 2000 };
-constexpr Duration SHUTDOWN_POLL { 50 };
+constexpr std::size_t MAX_ADDRESSES = 64;
+// Reads of the operator's records that are older than this can't show that a route does not exist.
+constexpr Duration CERTAIN_FOR { 3000 };
+// Keys are used up to this long before the bound for keys that were taken away.
+constexpr Duration REVOCATION_MARGIN { 500 };
+// After SIGTERM new requests are taken for this long: callers keep an address for a while.
+constexpr Duration TAKE_REQUESTS_AFTER_TERM { 4000 };
+constexpr Duration END_MARGIN { 700 };
+// An upstream that acknowledges nothing for this long is taken as dead.
+constexpr Duration UPSTREAM_USER_TIMEOUT { 700 };
+
+dispatch::RetryOptions retryOptions(const ServiceBounds& bounds)
+{
+    // The bound holds for the sum of all hosts; the part left over covers hosts that come and go within the window.
+    constexpr double USED_RATIO = 0.85;
+    constexpr double USED_SLACK = 0.05;
+    return { .ratio = bounds.retryRatio * USED_RATIO,
+        .burst = std::max(2.0, bounds.retrySlack * USED_SLACK),
+        .maxAttempts = 100 };
+}
 
-class AsioEntryHost final : public EntryHost {
+class AsioEntryHost final : public EntryHost, public IHostView, public ICatalogListener, public IReportPart {
 public:
     AsioEntryHost(boost::asio::io_context& loop, const IClock& clock, const IWireCodec& codec,
         store::IRecordStore& store, EntrySettings settings)
@@ -25,49 +48,94 @@
         , m_clock(clock)
         , m_codec(codec)
         , m_settings(std::move(settings))
-        , m_balancer(m_catalog)
-        , m_retries({ .ratio = 0.5, .burst = 5, .maxAttempts = 10 })
-        , m_client(http::EventClient::create(loop, clock))
-        , m_sync(loop, clock, codec, store, m_catalog, m_settings)
+        , m_balancer(m_catalog, m_peerLoad,
+              { .ownDataCentre = m_settings.dataCentre, .seed = stableHash(m_settings.host.value()) })
+        , m_rollouts({ .session = m_settings.bounds.session })
+        , m_retries(retryOptions(m_settings.bounds))
+        , m_client(http::EventClient::create(loop, clock, { .userTimeout = UPSTREAM_USER_TIMEOUT }))
+        , m_log(clock)
+        , m_sync({ .loop = loop,
+              .clock = clock,
+              .codec = codec,
+              .store = store,
+              .catalog = m_catalog,
+              .settings = m_settings,
+              .hosts = [this] { return &m_link.hosts(); },
+              .listener = *this })
+        , m_link(loop, clock, m_settings, store, *this)
+        , m_conductor({ .clock = clock,
+              .codec = codec,
+              .store = store,
+              .catalog = m_catalog,
+              .balancer = m_balancer,
+              .peers = m_peerLoad,
+              .board = m_rollouts })
         , m_flows { .catalog = m_catalog,
             .balancer = m_balancer,
+            .ladder = m_ladder,
+            .rollouts = m_rollouts,
             .retries = m_retries,
-            .mayUseKeys = [this](TimePoint now) { return m_sync.mayUseKeys(now); } }
+            .waiting = m_waiting,
+            .host = *this,
+            .observer = m_log }
         , m_drivers { .loop = loop, .clock = clock, .codec = codec, .client = *m_client, .flows = m_flows }
+        , m_door(m_drivers, m_waiting)
+        , m_tickTimer(loop)
+        , m_pumpTimer(loop)
         , m_shutdownTimer(loop)
     {
     }
 
     Result<void> listen()
     {
-        BOOST_LEAF_ASSIGN(
-            m_frontend, startServer(m_settings.frontend, [this](auto exchange) { serveCaller(std::move(exchange)); }));
-        BOOST_LEAF_ASSIGN(
-            m_readiness, startServer(m_settings.readiness, [this](auto exchange) { serveReadiness(*exchange); }));
-        BOOST_LEAF_ASSIGN(
-            m_directory, startServer(m_settings.directory, [this](auto exchange) { serveDirectory(*exchange); }));
-        m_sync.start([this] { onConfiguration(); });
-        spdlog::info("host {} serves {}", m_settings.host.value(), m_settings.frontend.text());
+        const auto limit = static_cast<std::size_t>(static_cast<double>(m_settings.limits.descriptors) * 0.4);
+        BOOST_LEAF_ASSIGN(m_frontend,
+            startServer(m_settings.frontend, limit, [this](auto exchange) { serveCaller(std::move(exchange)); }));
+        BOOST_LEAF_ASSIGN(m_readiness,
+            startServer(m_settings.readiness, limit / 4, [this](auto exchange) { serveReadiness(*exchange); }));
+        BOOST_LEAF_ASSIGN(m_directory,
+            startServer(m_settings.directory, limit / 4, [this](auto exchange) { serveDirectory(*exchange); }));
+        BOOST_LEAF_CHECK(m_sync.listen({ .ip = m_settings.frontend.ip, .port = m_settings.firstPeerPort }));
+        BOOST_LEAF_CHECK(m_link.open());
+        m_sync.start();
+        tick();
+        pump();
+        spdlog::info("started: host {} in {} serves {}", m_settings.host.value(), m_settings.dataCentre.value(),
+            m_settings.frontend.text());
         return {};
     }
 
     void shutDown(std::function<void()> done) override
     {
-        spdlog::info("shutting down");
-        m_draining = true;
-        m_frontend->closeAfterAnswers();
+        if (m_drainingSince)
+            return;
+        spdlog::info("stopping: {} requests open", m_door.openRequests());
+        m_drainingSince = m_clock.now();
         m_shutdownDone = std::move(done);
+        m_frontend->closeAfterAnswers();
+        m_link.reportNow();
         pollShutdown();
     }
 
-private:
-    Result<std::unique_ptr<http::EventServer>> startServer(const http::Endpoint& address, http::ExchangeHandler handler)
+    bool mayUseKeys(TimePoint now) const override
     {
-        http::EventServerOptions options { .listen = address, .maxConnections = m_settings.limits.descriptors / 3 };
-        return http::EventServer::start(m_loop, m_clock, options, std::move(handler));
+        const auto confirmed = m_sync.operatorConfirmedAt();
+        const bool unlimited = !m_settings.bounds.strictRevocation && confirmed;
+        return unlimited || (confirmed && now - *confirmed < m_settings.bounds.revocation - REVOCATION_MARGIN);
+    }
+    bool knowsAll(TimePoint now) const override
+    {
+        const auto confirmed = m_sync.operatorConfirmedAt();
+        return confirmed && !m_sync.readsFail() && now - *confirmed < CERTAIN_FOR;
     }
+    Duration configurationAge(TimePoint now) const override
+    {
+        const auto confirmed = m_sync.operatorConfirmedAt();
+        return confirmed ? now - *confirmed : Duration(-1);
+    }
+    int sharers(TimePoint now) const override { return m_link.hosts().sharers(now); }
 
-    void onConfiguration()
+    void onConfiguration() override
     {
         const catalog::CallerBounds& bounds = m_catalog.configuration().callerBounds;
         m_frontend->setLimits({ .maxHeaderBytes = bounds.maxHeaderBytes,
@@ -75,23 +143,79 @@
             .headerTimeout = bounds.headerTimeout,
             .idleTimeout = bounds.idleTimeout });
     }
+    void onRolloutOrder(const catalog::RolloutOrder& order) override
+    {
+        spdlog::info(
+            "roll-out of {} to {} ordered, {} ms", order.service.value(), order.target.value(), order.duration.count());
+        m_rollouts.onOrder(order, m_clock.now());
+        m_link.reportNow();
+    }
+    void onRolloutWithdrawn(const ServiceName& service) override { m_rollouts.onWithdrawn(service); }
+    void onRolloutStatus(const catalog::RolloutStatus& status) override { m_rollouts.onStatus(status); }
+    void onUpstreamChanged(const catalog::Upstream& upstream, bool newLife) override
+    {
+        if (newLife)
+            m_balancer.forget(upstream.id);
+        m_rollouts.onVersionSeen(upstream.service, upstream.version, m_clock.now());
+        const bool leaving = upstream.phase == catalog::UpstreamPhase::Draining;
+        if (leaving)
+            m_client->forget(upstream.address);
+        if (newLife || leaving)
+            spdlog::info("upstream {} {} version {} at {}, cold for {} ms", upstream.id.value(),
+                leaving ? "leaves" : "is new", upstream.version.value(), upstream.address.text(),
+                upstream.coldFor.count());
+    }
+    void onUpstreamGone(const UpstreamId& id) override
+    {
+        spdlog::info("upstream {} is gone", id.value());
+        m_balancer.forget(id);
+    }
+
+    void fillReport(fleet::HostReport& report, bool full, TimePoint now) override
+    {
+        report.takesCallers = takesCallers();
+        report.reachesStore = m_sync.reachesStore();
+        for (const fleet::UpstreamCounters& it : m_balancer.counters(now)) {
+            fleet::UpstreamCounters& last = m_reported[it.upstream];
+            if (full || it != last)
+                report.upstreams.items.push_back(it);
+            last = it;
+        }
+        m_rollouts.fillReport(report, now);
+    }
+    void onReport(
+        const fleet::HostReport& before, const fleet::HostReport& report, bool newLife, TimePoint now) override
+    {
+        m_balancer.onPeerAnswers(m_peerLoad.onReport(report, newLife), now);
+        m_rollouts.onReport(before, report, now);
+    }
+    void onHostSilent(const HostId& host) override { m_peerLoad.onSilent(host); }
+
+private:
+    Result<std::unique_ptr<http::EventServer>> startServer(
+        const http::Endpoint& address, std::size_t maxConnections, http::ExchangeHandler handler)
+    {
+        const http::EventServerOptions options { .listen = address, .maxConnections = maxConnections };
+        return http::EventServer::start(m_loop, m_clock, options, std::move(handler));
+    }
+
+    bool takesCallers() const { return m_catalog.hasConfiguration() && !m_drainingSince; }
 
     void serveCaller(std::shared_ptr<http::Exchange> exchange)
     {
-        const auto place = m_requests.emplace(m_requests.end());
-        *place = std::make_unique<RequestDriver>(m_drivers, std::move(exchange), [this, place] {
-            // The driver is still in one of its own callbacks.
-            boost::asio::post(m_loop, [this, place] { m_requests.erase(place); });
-        });
-        (*place)->begin();
+        const TimePoint now = m_clock.now();
+        const bool tooLate = m_drainingSince && now - *m_drainingSince > TAKE_REQUESTS_AFTER_TERM;
+        if (!tooLate)
+            return m_door.serve(std::move(exchange));
+        const AttemptId attempt = m_codec.decodeRequest(exchange->head()).attempt;
+        exchange->answer(m_codec.encodeOwnAnswer(STATUS_UNAVAILABLE, attempt, Duration(0)), {});
     }
 
     void serveReadiness(http::Exchange& exchange)
     {
         if (!m_codec.isReadinessQuestion(exchange.head()))
             return exchange.answer({ .status = STATUS_NOT_FOUND }, {});
-        const bool ready = m_catalog.hasConfiguration() && !m_draining;
-        exchange.answer({ .status = ready ? STATUS_OK : STATUS_UNAVAILABLE }, {});
+        exchange.answer({ .status = takesCallers() ? STATUS_OK : STATUS_UNAVAILABLE }, {});
     }
 
     void serveDirectory(http::Exchange& exchange)
@@ -101,20 +225,84 @@
             return exchange.answer({ .status = STATUS_NOT_FOUND }, {});
         http::ResponseHead head { .status = STATUS_OK };
         head.headers.add("Content-Type", "application/json");
-        exchange.answer(head, m_codec.encodeAddresses({ m_settings.frontend }, DIRECTORY_LIFETIME));
+        const Duration lifetime = std::min(DIRECTORY_LIFETIME, m_settings.bounds.directoryLifetime);
+        exchange.answer(head, m_codec.encodeAddresses(addressesFor(*question), lifetime));
+    }
+
+    // Hosts that take callers, those in the caller's data centre first; all that live where none does.
+    std::vector<http::Endpoint> addressesFor(const AddressQuestion& question) const
+    {
+        std::vector<http::Endpoint> near;
+        std::vector<http::Endpoint> far;
+        const auto add = [&](const DataCentreId& dataCentre, const http::Endpoint& address) {
+            (dataCentre == question.dataCentre ? near : far).push_back(address);
+        };
+        if (takesCallers())
+            add(m_settings.dataCentre, m_settings.frontend);
+        for (const fleet::KnownHost* it : m_link.hosts().live(m_clock.now())) {
+            if (it->report.takesCallers)
+                add(it->report.dataCentre, it->report.frontend);
+        }
+        near.insert(near.end(), far.begin(), far.end());
+        if (near.empty() && !m_drainingSince)
+            near.push_back(m_settings.frontend);
+        near.resize(std::min(near.size(), MAX_ADDRESSES));
+        return near;
+    }
+
+    void tick()
+    {
+        const TimePoint now = m_clock.now();
+        m_sync.tick(now);
+        m_rollouts.tick(now);
+        m_balancer.expire(now);
+        m_conductor.tick(isWriter(now), now);
+        spdlog::default_logger()->flush();
+        later(m_tickTimer, TICK, [this] { tick(); });
+    }
+
+    // The host that writes the status of roll-outs.
+    bool isWriter(TimePoint now) const
+    {
+        if (!m_sync.reachesStore())
+            return false;
+        std::vector<HostId> candidates { m_settings.host };
+        for (const fleet::KnownHost* it : m_link.hosts().live(now)) {
+            if (it->report.reachesStore && it->report.takesCallers)
+                candidates.push_back(it->report.host);
+        }
+        return fleet::firstByRendezvous(candidates, "writer of roll-outs") == m_settings.host;
+    }
+
+    void pump()
+    {
+        m_door.pump();
+        later(m_pumpTimer, m_waiting.size() > 0 ? PUMP : TICK, [this] { pump(); });
+    }
+
+    void later(boost::asio::steady_timer& timer, Duration delay, std::function<void()> action)
+    {
+        timer.expires_after(delay);
+        timer.async_wait([alive = m_alive, action = std::move(action)](boost::system::error_code ec) {
+            if (!ec && *alive)
+                action();
+        });
     }
 
     void pollShutdown()
     {
-        if (m_requests.empty()) {
-            m_frontend->stopListening();
+        const Duration age = m_clock.now() - *m_drainingSince;
+        const bool callersGone = age > TAKE_REQUESTS_AFTER_TERM && m_door.openRequests() == 0;
+        if (callersGone || age > m_settings.bounds.shutdownGrace - END_MARGIN) {
+            spdlog::info("stopped: {} requests cut", m_door.openRequests());
+            spdlog::default_logger()->flush();
             return m_shutdownDone();
         }
-        m_shutdownTimer.expires_after(SHUTDOWN_POLL);
-        m_shutdownTimer.async_wait([this](boost::system::error_code ec) {
-            if (!ec)
-                pollShutdown();
-        });
+        if (age > TAKE_REQUESTS_AFTER_TERM)
+            m_frontend->stopListening();
+        if (age > m_settings.bounds.directoryLifetime / 2)
+            m_frontend->closeIdle();
+        later(m_shutdownTimer, TICK, [this] { pollShutdown(); });
     }
 
     boost::asio::io_context& m_loop;
@@ -122,19 +310,31 @@
     const IWireCodec& m_codec;
     const EntrySettings m_settings;
     catalog::Catalog m_catalog;
+    fleet::PeerLoad m_peerLoad;
     balancing::Balancer m_balancer;
-    dispatch::RetryBudget m_retries;
+    routing::ModelLadder m_ladder;
+    rollout::RolloutBoard m_rollouts;
+    dispatch::RetryBudgets m_retries;
+    admission::WaitingRoom m_waiting;
     std::unique_ptr<http::EventClient> m_client;
+    DecisionLog m_log;
     CatalogSync m_sync;
+    FleetLink m_link;
+    Conductor m_conductor;
     FlowContext m_flows;
     DriverContext m_drivers;
-    std::list<std::unique_ptr<RequestDriver>> m_requests;
+    FrontDoor m_door;
     std::unique_ptr<http::EventServer> m_frontend;
     std::unique_ptr<http::EventServer> m_readiness;
     std::unique_ptr<http::EventServer> m_directory;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_pumpTimer;
     boost::asio::steady_timer m_shutdownTimer;
     std::function<void()> m_shutdownDone;
-    bool m_draining = false;
+    std::optional<TimePoint> m_drainingSince;
+    // What the last report told of each upstream.
+    std::map<fleet::ShortHash, fleet::UpstreamCounters> m_reported;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 }
--- /dev/null
+++ b/src/entry/internal/peerrelay.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "fireflyhaven/common/clock.h"
+#include "fireflyhaven/http/eventclient.h"
+#include "fireflyhaven/http/eventserver.h"
+#include "fireflyhaven/store/recordstore.h"
+#include "fireflyhaven/store/relaylog.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <list>
+#include <map>
+
+namespace fireflyhaven::entry {
+
+// Lets other hosts read here what this host has read from the store.
+class RelayServer {
+public:
+    // `confirmedAt` tells as of when a topic is known here.
+    using ConfirmedAt = std::function<std::optional<TimePoint>(store::Topic)>;
+
+    RelayServer(boost::asio::io_context& loop, const IClock& clock, ConfirmedAt confirmedAt);
+
+    Result<void> listen(const http::Endpoint& address);
+    void onUpdate(store::Topic topic, const store::FeedUpdate& update, const std::vector<bool>& significant,
+        std::uint64_t nextOffset);
+
+private:
+    struct Reader {
+        std::shared_ptr<http::Exchange> exchange;
+        store::Topic topic = store::Topic::Operator;
+        std::uint64_t offset = 0;
+        TimePoint until {};
+    };
+
+    void onRequest(std::shared_ptr<http::Exchange> exchange);
+    void answerRead(const Reader& reader);
+    void answerNewest(http::Exchange& exchange, store::Topic topic);
+    bool hasNews(const Reader& reader) const;
+    void answerReaders();
+    Duration age(store::Topic topic) const;
+
+    boost::asio::io_context& m_loop;
+    const IClock& m_clock;
+    const ConfirmedAt m_confirmedAt;
+    std::map<store::Topic, store::RelayLog> m_logs;
+    std::list<Reader> m_readers;
+    boost::asio::steady_timer m_timer;
+    std::unique_ptr<http::EventServer> m_server;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+// Reads from another host what that host has read from the store.
+class RelayClient {
+public:
+    RelayClient(boost::asio::io_context& loop, const IClock& clock);
+    ~RelayClient();
+
+    void read(const http::Endpoint& host, store::Topic topic, std::uint64_t offset, Duration wait,
+        store::OnOutcome<store::RecordBatch> done);
+    void readNewest(const http::Endpoint& host, store::Topic topic, store::OnOutcome<store::SnapshotPage> done);
+
+private:
+    class Call;
+
+    void call(const http::Endpoint& host, std::string target, Duration timeout,
+        std::function<void(store::Outcome<std::string>)> done);
+
+    boost::asio::io_context& m_loop;
+    std::unique_ptr<http::EventClient> m_client;
+    std::list<std::shared_ptr<Call>> m_open;
+};
+
+}
--- a/src/entry/internal/requestdriver.cpp
+++ b/src/entry/internal/requestdriver.cpp
@@ -28,12 +28,19 @@
     checkDone();
 }
 
+bool RequestDriver::onTurn()
+{
+    const bool taken = m_flow.onTurn(now());
+    checkDone();
+    return taken;
+}
+
 void RequestDriver::startAttempt(const AttemptPlan& plan)
 {
     http::OutgoingRequest request { .head = m_context.codec.encodeUpstreamRequest(m_exchange->head(), plan.order),
         .body = m_exchange->body(),
         .connectTimeout = plan.connectTimeout,
-        .freshConnection = plan.freshConnection };
+        .freshFor = plan.freshFor };
     m_call = m_context.client.start(plan.address, std::move(request), *this);
 }
 
@@ -103,7 +110,7 @@
 
 void RequestDriver::onCallerGone()
 {
-    m_flow.onCallerGone();
+    m_flow.onCallerGone(now());
     checkDone();
 }
 
--- a/src/entry/internal/requestdriver.h
+++ b/src/entry/internal/requestdriver.h
@@ -26,6 +26,9 @@
     RequestDriver& operator=(const RequestDriver&) = delete;
 
     void begin();
+    // It is the request's turn to be sent; false where no upstream can take it yet.
+    bool onTurn();
+    admission::TicketId waitingTicket() const { return m_flow.waitingTicket(); }
 
 private:
     void startAttempt(const AttemptPlan& plan) override;
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -1,130 +1,356 @@
 #include "fireflyhaven/entry/requestflow.h"
 
+#include "fireflyhaven/common/hash.h"
 #include "fireflyhaven/http/types/status.h"
 
 #include <algorithm>
 
 namespace fireflyhaven::entry {
 
+using balancing::SendOutcome;
+
 namespace {
 
-constexpr Duration CONNECT_TIMEOUT { 300 };
-// Time to come back that is named while no upstream can take a request.
-constexpr Duration COME_BACK { 250 };
+// Time to come back that is named while nothing better is known.
+constexpr Duration COME_BACK { 300 };
+constexpr Duration LONGEST_COME_BACK { 2000 };
+// An answer that takes this many times as long as expected, and this much longer, tells against its version.
+constexpr int TOO_SLOW_FACTOR = 3;
+constexpr Duration TOO_SLOW_FLOOR { 300 };
 constexpr std::size_t MAX_COLLECTED_BYTES = 1024 * 1024;
+// Upstreams that could not be reached before a request is given up.
+constexpr int MOST_CONNECT_FAILURES = 4;
 
 bool isSuccess(int status) { return status >= STATUS_OK && status <= STATUS_LAST_OK; }
 
+// The upstream states that it did not run the request, and another one might.
+bool wasTurnedAway(const AnswerFacts& facts)
+{
+    if (facts.status == STATUS_MISDIRECTED)
+        return true;
+    return facts.notExecuted && (facts.status == STATUS_UNAVAILABLE || facts.status == STATUS_TOO_MANY);
+}
+
 }
 
 RequestFlow::RequestFlow(FlowContext& context, IFlowActions& actions, CallerRequest request)
     : m_context(context)
     , m_actions(actions)
     , m_request(std::move(request))
+    , m_waitingTicket(context.nextTicket++)
     , m_lastEventId(m_request.lastEventId)
 {
 }
 
-RequestFlow::~RequestFlow() { attemptOver(); }
+RequestFlow::~RequestFlow()
+{
+    if (m_stage == Stage::Waiting)
+        m_context.waiting.remove(m_service, m_waitingTicket);
+    if (m_ticket)
+        m_context.balancer.onEnded(*m_ticket, SendOutcome::Abandoned, m_receivedAt);
+}
 
 void RequestFlow::begin(TimePoint now)
 {
+    m_receivedAt = now;
     if (!admit(now))
         return;
-    m_context.retries.onRequest();
+    chooseService();
+    m_context.retries.onRequest(m_service);
     m_deadline = now + std::min(m_request.deadline.value_or(m_route->timeout), m_route->timeout);
-    m_actions.wakeAt(m_deadline);
-    attempt(now);
+    dispatch(now);
+    arm();
 }
 
 bool RequestFlow::admit(TimePoint now)
 {
     const catalog::Catalog& catalog = m_context.catalog;
-    const bool keysUsable = m_context.mayUseKeys(now);
     if (!catalog.hasConfiguration()) {
-        answerOwn(STATUS_UNAVAILABLE, COME_BACK);
+        answerOwn(FlowStep::Refused, STATUS_UNAVAILABLE, COME_BACK, "no configuration yet", now);
         return false;
     }
     m_route = catalog.routes().find(m_request.host, m_request.path);
-    if (!m_route) {
-        answerOwn(keysUsable ? STATUS_NOT_FOUND : STATUS_UNAVAILABLE);
+    if (!m_route || m_route->services.empty()) {
+        // A route that was just added may be missing here while the store can't be read.
+        const bool certain = m_context.host.knowsAll(now);
+        answerOwn(certain ? FlowStep::Rejected : FlowStep::Refused, certain ? STATUS_NOT_FOUND : STATUS_UNAVAILABLE,
+            certain ? std::nullopt : std::optional(COME_BACK), "no route", now);
         return false;
     }
-    if (!catalog.needsKeys() || m_route->anonymous)
+    return !catalog.needsKeys() || m_route->anonymous || identify(now);
+}
+
+bool RequestFlow::identify(TimePoint now)
+{
+    if (!m_context.host.mayUseKeys(now)) {
+        refuse(STATUS_UNAVAILABLE, COME_BACK, "keys not confirmed lately", now);
+        return false;
+    }
+    m_caller = m_request.key ? m_context.catalog.callerOf(*m_request.key) : std::nullopt;
+    if (m_caller)
         return true;
-    if (!keysUsable) {
-        answerOwn(STATUS_UNAVAILABLE, COME_BACK);
+    const bool certain = m_context.host.knowsAll(now);
+    answerOwn(certain ? FlowStep::Rejected : FlowStep::Refused, certain ? STATUS_UNAUTHORIZED : STATUS_UNAVAILABLE,
+        certain ? std::nullopt : std::optional(COME_BACK), "unknown key", now);
+    return false;
+}
+
+// A session keeps its service where a route is split by weights.
+void RequestFlow::chooseService()
+{
+    double total = 0;
+    for (const catalog::WeightedService& it : m_route->services)
+        total += it.weight;
+    const std::string& subject = m_request.session ? m_request.session->value() : m_request.attempt.value();
+    double place = unitInterval(stableHash(subject, stableHash(m_route->name.value()))) * total;
+    m_service = m_route->services.back().service;
+    for (const catalog::WeightedService& it : m_route->services) {
+        place -= it.weight;
+        if (place < 0) {
+            m_service = it.service;
+            break;
+        }
+    }
+    const catalog::Service* service = m_context.catalog.service(m_service);
+    for (const catalog::ModelName& model : m_route->models) {
+        catalog::ModelPrice price { .model = model, .costPerThousandTokens = 1 };
+        const bool priced = service && service->engine;
+        for (const catalog::ModelPrice& it : priced ? service->engine->models : std::vector<catalog::ModelPrice>()) {
+            if (it.model == model)
+                price = it;
+        }
+        m_models.push_back(price);
+    }
+    m_model = m_context.ladder.first(m_service, m_models);
+}
+
+std::uint64_t RequestFlow::sessionHash() const
+{
+    const std::string& subject = m_request.session ? m_request.session->value() : m_request.attempt.value();
+    return stableHash(subject, stableHash(m_service.value()));
+}
+
+balancing::Demand RequestFlow::demand(std::size_t model) const
+{
+    balancing::Demand it { .service = m_service, .excluded = m_excluded };
+    it.promptTokens = m_request.promptTokens;
+    it.promptParts = m_request.promptParts;
+    if (choosesModel())
+        it.model = m_models[model].model;
+    else if (!m_request.model.empty())
+        it.model = catalog::ModelName(m_request.model);
+    return it;
+}
+
+balancing::Demand RequestFlow::demandFor(std::size_t model, TimePoint now) const
+{
+    balancing::Demand it = demand(model);
+    const rollout::VersionWish wish = m_context.rollouts.wishFor(m_service, sessionHash(), now);
+    it.onlyVersion = wish.only;
+    it.notVersion = wish.except;
+    // Where the version wished for has no upstream left, the other one is better than none.
+    if (wish.only && !m_context.balancer.isServable(it, now))
+        it.onlyVersion.reset();
+    return it;
+}
+
+void RequestFlow::dispatch(TimePoint now)
+{
+    if (!trySend(now) && m_stage != Stage::Done)
+        waitOrRefuse(now);
+}
+
+bool RequestFlow::trySend(TimePoint now)
+{
+    // The key may have been taken away while the request waited.
+    if (m_caller && (!m_context.host.mayUseKeys(now) || !m_context.catalog.callerOf(*m_request.key))) {
+        giveUp("key no longer confirmed", now);
+        return false;
+    }
+    auto ticket = m_context.balancer.send(demandFor(m_model, now), m_context.host.sharers(now), now);
+    if (!ticket)
         return false;
+    send(std::move(*ticket), now);
+    return true;
+}
+
+admission::WaitingRequest RequestFlow::waitingRequest() const
+{
+    const int priority = m_caller && m_caller->priority ? *m_caller->priority : m_route->priority;
+    return { .id = m_waitingTicket,
+        .service = m_service,
+        .workspace = m_caller ? m_caller->workspace : WorkspaceId(),
+        .priority = priority,
+        .startBy = m_deadline };
+}
+
+void RequestFlow::waitOrRefuse(TimePoint now)
+{
+    if (!m_context.balancer.isServable(demandFor(m_model, now), now))
+        return giveUp("no upstream in service", now);
+    const admission::WaitingResult result = m_context.waiting.offer(waitingRequest(), now);
+    if (result.refusedFor)
+        return giveUp("would not get its turn in time", now);
+    m_stage = Stage::Waiting;
+    report(event(FlowStep::Queued), now);
+}
+
+bool RequestFlow::onTurn(TimePoint now)
+{
+    m_stage = Stage::Received;
+    if (trySend(now)) {
+        m_context.waiting.onStarted(m_service, now);
+        arm();
+        return true;
     }
-    m_caller = m_request.key ? catalog.callerOf(*m_request.key) : std::nullopt;
-    if (!m_caller)
-        answerOwn(STATUS_UNAUTHORIZED);
-    return m_caller.has_value();
+    if (m_stage == Stage::Done)
+        return true;
+    m_stage = Stage::Waiting;
+    m_context.waiting.putBack(waitingRequest());
+    return false;
 }
 
-void RequestFlow::attempt(TimePoint now)
+void RequestFlow::onShed(TimePoint now)
 {
-    if (now >= m_deadline)
-        return giveUp(m_mayHaveRun);
-    balancing::Demand demand { .service = m_route->services.empty() ? ServiceName() : m_route->services.front().service,
-        .excluded = m_tried };
-    const catalog::UpstreamState* target = m_context.balancer.pick(demand, now);
-    if (!target)
-        return giveUp(m_mayHaveRun);
-    send(*target, now);
+    m_stage = Stage::Received;
+    giveUp("a more urgent request took its place", now);
 }
 
-void RequestFlow::send(const catalog::UpstreamState& target, TimePoint now)
+void RequestFlow::send(balancing::Ticket ticket, TimePoint now)
 {
+    const catalog::UpstreamState* target = m_context.catalog.upstream(ticket.upstream);
+    m_ticket = std::move(ticket);
     m_stage = Stage::AwaitingHead;
-    m_upstream = target.upstream.id;
-    m_tried.push_back(target.upstream.id);
+    m_version = target->upstream.version;
+    m_sentToCold = target->isCold(now);
     m_splitter = {};
     m_collected.clear();
-    m_context.balancer.onSent(target.upstream.id);
-    AttemptPlan plan { .address = target.upstream.address,
-        .order = { .upstream = target.upstream.id,
+    ++m_sends;
+    m_attemptDeadline.reset();
+    if (m_route->mayRepeat()) {
+        const Duration least = m_route->kind == catalog::RouteKind::Streaming ? m_context.options.leastModelWait
+                                                                              : m_context.options.leastServiceWait;
+        m_attemptDeadline = now + std::max(least, m_context.options.expectedFactor * m_ticket->expectedFirstToken());
+    }
+    noteSession(now);
+    FlowEvent sent = event(FlowStep::Sent);
+    sent.expected = m_ticket->expectedFirstToken();
+    report(sent, now);
+    startAttempt(target->upstream, now);
+}
+
+void RequestFlow::startAttempt(const catalog::Upstream& upstream, TimePoint now)
+{
+    AttemptPlan plan { .address = upstream.address,
+        .order = { .upstream = upstream.id,
             .deadline = std::max(Duration(1), m_deadline - now),
             .lastEventId = m_lastEventId },
-        .connectTimeout = CONNECT_TIMEOUT };
+        .connectTimeout = m_context.options.connectTimeout };
+    if (!m_route->mayRepeat())
+        plan.freshFor = m_context.options.freshFor;
     if (m_caller)
         plan.order.workspace = m_caller->workspace;
-    if (!m_route->models.empty())
-        plan.order.model = m_route->models.back();
+    if (choosesModel())
+        plan.order.model = m_models[m_model].model;
     m_actions.startAttempt(plan);
 }
 
-void RequestFlow::attemptOver()
+void RequestFlow::noteSession(TimePoint now)
 {
-    if (m_upstream)
-        m_context.balancer.onDone(*m_upstream);
-    m_upstream.reset();
+    if (m_request.session)
+        m_context.rollouts.onSessionUsed(m_service, sessionHash(), m_version, now);
+}
+
+void RequestFlow::attemptOver(SendOutcome outcome, TimePoint now)
+{
+    m_attemptDeadline.reset();
+    if (!m_ticket)
+        return;
+    m_context.balancer.onEnded(*m_ticket, outcome, now);
+    noteSession(now);
+    m_ticket.reset();
 }
 
 http::HeadVerdict RequestFlow::onAttemptHead(const AnswerFacts& facts, const http::ResponseHead& head, TimePoint now)
 {
     if (!facts.attempt.empty() && facts.attempt != m_request.attempt)
         return http::HeadVerdict::Skip;
-    const bool notRun = facts.notExecuted || facts.status == STATUS_MISDIRECTED;
-    if (!notRun && (!facts.isSigned || facts.hasContentCoding)) {
+    const bool trusted = wasTurnedAway(facts) || (facts.isSigned && !facts.hasContentCoding) || facts.notExecuted;
+    if (!trusted) {
         m_actions.cancelAttempt();
-        onBroken(true, now);
+        onBroken(true, "answer without signature", now);
         return http::HeadVerdict::Accept;
     }
     m_facts = facts;
-    const bool resumes = m_headSent;
-    if (!resumes)
+    const bool success = isSuccess(facts.status);
+    if (success) {
+        m_mayHaveRun = true;
+        m_context.balancer.onFirstToken(*m_ticket, now);
+        judgeVersion(!isFarTooSlow(now), now);
+        if (choosesModel() && facts.confidence)
+            m_context.ladder.onConfidence(m_service, m_models[m_model].model, *facts.confidence);
+        if (escalate(now))
+            return http::HeadVerdict::Accept;
+    }
+    if (!m_headSent)
         m_head = head;
-    const bool streams
-        = m_route->kind == catalog::RouteKind::Streaming && isSuccess(facts.status) && facts.isEventStream;
+    const bool streams = m_route->kind == catalog::RouteKind::Streaming && success && facts.isEventStream;
     m_stage = streams ? Stage::Streaming : Stage::Collecting;
+    if (streams && m_route->mayRepeat())
+        m_attemptDeadline = nextEventBy(now);
+    arm();
     return http::HeadVerdict::Accept;
 }
 
+TimePoint RequestFlow::nextEventBy(TimePoint now) const
+{
+    const double gapMs = static_cast<double>(m_route->targetGap.count()) * m_context.options.gapFactor;
+    // The prompts that the upstream reads hold up the streams beside them.
+    return now + Duration(static_cast<Duration::rep>(gapMs))
+        + m_context.balancer.pendingPrefill(m_ticket->upstream, now);
+}
+
+bool RequestFlow::isFarTooSlow(TimePoint now) const
+{
+    if (m_sentToCold)
+        return false;
+    const Duration expected = m_ticket->plainTime + m_ticket->timeAhead;
+    return now - m_ticket->sentAt > TOO_SLOW_FACTOR * expected + TOO_SLOW_FLOOR;
+}
+
+void RequestFlow::judgeVersion(bool good, TimePoint now)
+{
+    m_context.rollouts.onAnswer(m_service, m_route->name, m_version, m_ticket->upstream, good, now);
+}
+
+bool RequestFlow::escalate(TimePoint now)
+{
+    if (!choosesModel() || m_headSent || !m_facts.confidence || !mayTryAgain(true, now))
+        return false;
+    const std::size_t largest = m_models.size() - 1;
+    const auto expected = m_context.balancer.expect(demandFor(largest, now), m_context.host.sharers(now), now);
+    const bool inTime = expected && now + *expected <= m_receivedAt + m_route->targetLatency;
+    const auto next = m_context.ladder.next(m_service, m_models, m_model, *m_facts.confidence, inTime);
+    if (!next || !expected || !m_context.retries.take(m_service, m_sends))
+        return false;
+    FlowEvent escalated = event(FlowStep::Escalated);
+    escalated.confidence = m_facts.confidence;
+    escalated.expected = expected;
+    report(escalated, now);
+    m_actions.cancelAttempt();
+    attemptOver(SendOutcome::Good, now);
+    m_model = *next;
+    dispatch(now);
+    arm();
+    return true;
+}
+
 void RequestFlow::onAttemptPiece(std::string_view piece, TimePoint now)
 {
     if (m_stage == Stage::Streaming) {
-        m_splitter.feed(piece, [this](const StreamEvent& event) { passEvent(event); });
+        m_splitter.feed(piece, [this](const StreamEvent& it) { passEvent(it); });
+        if (m_attemptDeadline && m_ticket)
+            m_attemptDeadline = nextEventBy(now);
         return;
     }
     if (m_stage != Stage::Collecting)
@@ -132,124 +358,215 @@
     m_collected += piece;
     if (m_collected.size() > MAX_COLLECTED_BYTES) {
         m_actions.cancelAttempt();
-        onBroken(true, now);
+        onBroken(true, "answer too large", now);
     }
 }
 
-void RequestFlow::passEvent(const StreamEvent& event)
+void RequestFlow::passEvent(const StreamEvent& it)
 {
-    const bool seen = event.id && m_lastEventId && *event.id <= *m_lastEventId;
+    const bool seen = it.id && m_lastEventId && *it.id <= *m_lastEventId;
     if (seen)
         return;
-    if (event.id)
-        m_lastEventId = event.id;
+    if (it.id)
+        m_lastEventId = it.id;
     if (!m_headSent) {
         m_headSent = true;
         m_actions.sendHead(m_head);
     }
-    m_actions.sendPiece(event.bytes);
+    m_actions.sendPiece(it.bytes);
 }
 
 void RequestFlow::onAttemptEnd(TimePoint now)
 {
-    const bool streamed = m_stage == Stage::Streaming;
-    attemptOver();
-    if (streamed && !m_splitter.rest().empty())
-        return onBroken(true, now);
-    if (streamed) {
-        if (!m_headSent)
-            m_actions.sendHead(m_head);
-        m_actions.finish();
-        return end();
-    }
-    const bool notRun = m_facts.notExecuted || m_facts.status == STATUS_MISDIRECTED;
-    if (notRun)
-        return onBroken(false, now);
+    if (m_stage != Stage::Streaming)
+        return onWholeAnswer(now);
+    if (!m_splitter.rest().empty())
+        return onBroken(true, "stream cut within an event", now);
+    FlowEvent answered = event(FlowStep::Answered);
+    answered.status = m_head.status;
+    answered.confidence = m_facts.confidence;
+    attemptOver(SendOutcome::Good, now);
+    if (!m_headSent)
+        m_actions.sendHead(m_head);
+    m_actions.finish();
+    report(answered, now);
+    end();
+}
+
+void RequestFlow::onWholeAnswer(TimePoint now)
+{
+    if (m_facts.status == STATUS_MISDIRECTED)
+        return onBroken(false, "another upstream has the address", now);
+    if (wasTurnedAway(m_facts))
+        return onBroken(false, "turned away", now);
     const bool failed = m_facts.status >= STATUS_SERVER_ERROR;
     if (failed) {
         m_mayHaveRun = true;
-        if (tryAgain(true, now))
-            return;
-    }
-    if (m_headSent) {
-        m_actions.abort();
-        return end();
+        judgeVersion(false, now);
     }
+    if (failed && mayTryAgain(true, now))
+        return onBroken(true, "error of the upstream", now);
+    if (m_headSent)
+        return onBroken(true, "the stream can't go on", now);
+    FlowEvent answered = event(FlowStep::Answered);
+    answered.status = m_facts.status;
+    attemptOver(failed ? SendOutcome::Failed : SendOutcome::Good, now);
     m_actions.answerWhole(m_head, m_collected);
+    report(answered, now);
     end();
 }
 
-void RequestFlow::onAttemptFailed(http::SendState state, const std::string&, TimePoint now)
+void RequestFlow::onAttemptFailed(http::SendState state, const std::string& reason, TimePoint now)
 {
-    onBroken(state == http::SendState::MaybeReceived, now);
+    if (state == http::SendState::MaybeReceived)
+        return onBroken(true, reason, now);
+    report(event(FlowStep::AttemptFailed, reason), now);
+    --m_sends;
+    ++m_connectFailures;
+    m_excluded.push_back(m_ticket->upstream);
+    attemptOver(SendOutcome::Unreachable, now);
+    // A send that reached nobody takes nothing from the budget.
+    if (!mayTryAgain(false, now))
+        return giveUp(reason, now);
+    sendAgain(reason, now);
 }
 
-void RequestFlow::onBroken(bool ran, TimePoint now)
+// An attempt ended without an answer that can be passed on.
+void RequestFlow::onBroken(bool ran, std::string_view reason, TimePoint now)
 {
-    attemptOver();
+    report(event(FlowStep::AttemptFailed, reason), now);
+    if (m_ticket)
+        m_excluded.push_back(m_ticket->upstream);
+    const bool misdirected = !ran && m_facts.status == STATUS_MISDIRECTED;
+    const SendOutcome refused = misdirected ? SendOutcome::Unreachable : SendOutcome::Refused;
+    attemptOver(ran ? SendOutcome::Failed : refused, now);
     m_mayHaveRun = m_mayHaveRun || ran;
-    if (!tryAgain(ran, now))
-        giveUp(m_mayHaveRun);
+    if (!mayTryAgain(ran, now) || !m_context.retries.take(m_service, m_sends))
+        return giveUp(reason, now);
+    sendAgain(reason, now);
 }
 
-bool RequestFlow::tryAgain(bool ran, TimePoint now)
+void RequestFlow::sendAgain(std::string_view reason, TimePoint now)
 {
-    const bool allowed = !ran || m_route->mayRepeat();
-    const bool attemptsLeft = static_cast<int>(m_tried.size()) < m_route->maxAttempts;
-    if (!allowed || !attemptsLeft || now >= m_deadline || !m_context.retries.take(static_cast<int>(m_tried.size())))
-        return false;
-    balancing::Demand demand { .service = m_route->services.front().service, .excluded = m_tried };
-    const catalog::UpstreamState* target = m_context.balancer.pick(demand, now);
-    if (!target)
-        return false;
-    send(*target, now);
-    return true;
+    report(event(m_headSent ? FlowStep::Resumed : FlowStep::Retried, reason), now);
+    m_stage = Stage::Received;
+    dispatch(now);
+    arm();
+}
+
+bool RequestFlow::mayTryAgain(bool ran, TimePoint now) const
+{
+    const bool allowed = m_route->mayRepeat() || (!ran && !m_mayHaveRun);
+    return allowed && m_sends < m_route->maxAttempts && m_connectFailures < MOST_CONNECT_FAILURES && now < m_deadline;
 }
 
-void RequestFlow::giveUp(bool ran)
+void RequestFlow::giveUp(std::string_view reason, TimePoint now)
 {
     if (m_headSent) {
+        report(event(FlowStep::Aborted, reason), now);
         m_actions.abort();
         return end();
     }
-    if (ran)
-        answerOwn(STATUS_BAD_GATEWAY);
-    else
-        answerOwn(STATUS_UNAVAILABLE, COME_BACK);
+    if (m_mayHaveRun)
+        return answerOwn(FlowStep::Failed, STATUS_BAD_GATEWAY, std::nullopt, reason, now);
+    const Duration wait = std::clamp(m_context.waiting.expectedWait(m_service, now), COME_BACK, LONGEST_COME_BACK);
+    refuse(STATUS_UNAVAILABLE, wait, reason, now);
+}
+
+// Callers that are refused together are asked back at different times.
+void RequestFlow::refuse(int status, std::optional<Duration> retryAfter, std::string_view reason, TimePoint now)
+{
+    const double spread = 0.75 + 0.5 * unitInterval(stableHash(m_request.attempt.value()));
+    if (retryAfter)
+        retryAfter = Duration(static_cast<Duration::rep>(static_cast<double>(retryAfter->count()) * spread));
+    answerOwn(FlowStep::Refused, status, retryAfter, reason, now);
 }
 
 void RequestFlow::onTimer(TimePoint now)
 {
-    if (m_stage == Stage::Done || now < m_deadline)
+    if (m_stage == Stage::Done)
         return;
-    const bool open = m_upstream.has_value();
-    if (open)
-        m_actions.cancelAttempt();
-    attemptOver();
-    if (m_headSent) {
-        m_actions.abort();
-        return end();
+    if (now >= m_deadline) {
+        const bool open = m_ticket.has_value();
+        if (open)
+            m_actions.cancelAttempt();
+        m_mayHaveRun = m_mayHaveRun || open;
+        attemptOver(SendOutcome::Failed, now);
+        if (m_headSent || !m_mayHaveRun)
+            return giveUp("deadline passed", now);
+        return answerOwn(FlowStep::Failed, STATUS_GATEWAY_TIMEOUT, std::nullopt, "deadline passed", now);
     }
-    const bool mayHaveRun = m_mayHaveRun || open;
-    answerOwn(mayHaveRun ? STATUS_GATEWAY_TIMEOUT : STATUS_UNAVAILABLE);
+    if (m_attemptDeadline && now >= *m_attemptDeadline)
+        onNoProgress(now);
+    arm();
 }
 
-void RequestFlow::onCallerGone()
+void RequestFlow::onNoProgress(TimePoint now)
+{
+    constexpr std::string_view REASON = "no progress in time";
+    m_attemptDeadline.reset();
+    const bool otherUpstream
+        = m_context.balancer.expect(demandFor(m_model, now), m_context.host.sharers(now), now).has_value();
+    if (!otherUpstream || !mayTryAgain(true, now) || !m_context.retries.take(m_service, m_sends))
+        return;
+    report(event(FlowStep::AttemptFailed, REASON), now);
+    m_actions.cancelAttempt();
+    m_mayHaveRun = true;
+    m_excluded.push_back(m_ticket->upstream);
+    attemptOver(SendOutcome::Failed, now);
+    sendAgain(REASON, now);
+}
+
+void RequestFlow::onCallerGone(TimePoint now)
 {
     if (m_stage == Stage::Done)
         return;
-    if (m_upstream)
+    if (m_ticket)
         m_actions.cancelAttempt();
-    attemptOver();
+    attemptOver(SendOutcome::Abandoned, now);
+    if (m_stage == Stage::Waiting)
+        m_context.waiting.remove(m_service, m_waitingTicket);
+    report(event(FlowStep::CallerLeft), now);
     end();
 }
 
-void RequestFlow::answerOwn(int status, std::optional<Duration> retryAfter)
+void RequestFlow::answerOwn(
+    FlowStep step, int status, std::optional<Duration> retryAfter, std::string_view reason, TimePoint now)
 {
+    if (m_stage == Stage::Waiting)
+        m_context.waiting.remove(m_service, m_waitingTicket);
+    FlowEvent it = event(step, reason);
+    it.status = status;
+    it.retryAfter = retryAfter;
+    report(it, now);
     m_actions.answerOwn(status, retryAfter);
     end();
 }
 
 void RequestFlow::end() { m_stage = Stage::Done; }
 
+void RequestFlow::arm()
+{
+    if (m_stage != Stage::Done)
+        m_actions.wakeAt(std::min(m_deadline, m_attemptDeadline.value_or(m_deadline)));
+}
+
+FlowEvent RequestFlow::event(FlowStep step, std::string_view reason) const
+{
+    FlowEvent it { .step = step, .request = m_request, .route = m_route.get(), .reason = reason, .sends = m_sends };
+    if (m_ticket)
+        it.upstream = m_ticket->upstream;
+    if (choosesModel())
+        it.model = m_models[m_model].model;
+    return it;
+}
+
+void RequestFlow::report(FlowEvent event, TimePoint now)
+{
+    event.elapsed = now - m_receivedAt;
+    event.configuration = m_context.catalog.version();
+    event.configurationAge = m_context.host.configurationAge(now);
+    m_context.observer.onFlowEvent(event);
+}
+
 }
--- /dev/null
+++ b/src/fleet/tests/fleet_test.cpp
@@ -0,0 +1,183 @@
+#include "fireflyhaven/fleet/hosttable.h"
+#include "fireflyhaven/fleet/peerload.h"
+
+#include <random>
+
+#include <criterion/criterion.h>
+
+using namespace fireflyhaven;
+using namespace fireflyhaven::fleet;
+
+namespace {
+
+constexpr TimePoint START { Duration(100'000) };
+
+http::Endpoint address(int n) { return { .ip = "10.0.0." + std::to_string(n), .port = 7000 }; }
+
+HostReport report(const std::string& host, std::uint64_t life, std::uint32_t sequence)
+{
+    return { .host = HostId(host), .life = life, .sequence = sequence, .frontend = address(1), .takesCallers = true };
+}
+
+HostReport fullReport()
+{
+    HostReport it = report("h", 5, 9);
+    it.dataCentre = DataCentreId("dc");
+    it.reachesStore = true;
+    it.upstreams.items = { { .upstream = 1, .inFlight = 2, .pendingPrefillMs = 3, .good = 4, .failed = 5 } };
+    it.trials.items = { { .rollout = 6, .route = 60, .good = 7, .bad = 8, .badUpstreams = 9 } };
+    it.rollouts.items = { { .rollout = 10, .ageMs = 11, .rejected = true, .completed = false } };
+    it.pinnedSessions.items = { { .session = 12, .ageMs = 13 } };
+    it.otherHosts.items = { address(4) };
+    return it;
+}
+
+}
+
+Test(hostreport, survivesTheWay)
+{
+    const HostReport sent = fullReport();
+    const auto received = decodeReport(encodeReport(sent));
+    cr_assert(received.has_value());
+    cr_assert(received->host == sent.host && received->life == sent.life && received->sequence == sent.sequence);
+    cr_assert(received->frontend == sent.frontend && received->dataCentre == sent.dataCentre);
+    cr_assert(received->upstreams == sent.upstreams && received->trials == sent.trials);
+    cr_assert(received->rollouts == sent.rollouts && received->pinnedSessions == sent.pinnedSessions);
+    cr_assert(received->otherHosts == sent.otherHosts);
+}
+
+Test(hostreport, mutilatedDatagramsAreRefusedOrRead)
+{
+    const std::string whole = encodeReport(fullReport());
+    for (std::size_t n = 0; n < whole.size(); ++n)
+        cr_assert_not(decodeReport(whole.substr(0, n)).has_value(), "cut at %zu", n);
+    std::mt19937_64 random(1);
+    for (int n = 0; n < 5000; ++n) {
+        std::string bytes = whole;
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+        decodeReport(bytes);
+    }
+}
+
+Test(hosttable, oldAndRepeatedReportsAreIgnored)
+{
+    HostTable table(HostId("self"));
+    cr_assert(table.onReport(report("a", 2, 5), address(2), START).has_value());
+    cr_assert_not(table.onReport(report("a", 2, 5), address(2), START).has_value(), "the same report twice");
+    cr_assert_not(table.onReport(report("a", 2, 4), address(2), START).has_value(), "overtaken on the way");
+    cr_assert_not(table.onReport(report("a", 1, 9), address(2), START).has_value(), "an earlier life");
+    cr_assert(table.onReport(report("a", 3, 1), address(2), START).has_value(), "a new life");
+    cr_assert_not(table.onReport(report("self", 9, 9), address(3), START).has_value());
+}
+
+Test(hosttable, silentHostsTakeNoCallersButKeepTheirShareForAWhile)
+{
+    HostTable table(HostId("self"), { .silence = Duration(2000), .forgetShare = Duration(12'000) });
+    table.onReport(report("a", 1, 1), address(2), START);
+    table.onAddress(HostId("b"), address(3), START);
+    cr_assert_eq(table.live(START).size(), 1, "only its record is known of b");
+    cr_assert_eq(table.sharers(START), 3);
+    cr_assert_eq(table.live(START + Duration(2000)).size(), 0);
+    cr_assert_eq(table.sharers(START + Duration(11'999)), 3, "a silent host may still be sending");
+    cr_assert_eq(table.sharers(START + Duration(12'000)), 1);
+}
+
+Test(hosttable, silentHostsAreProbedAndThenForgotten)
+{
+    HostTable table(HostId("self"), { .silence = Duration(2000), .forgetAddress = Duration(60'000) });
+    table.onReport(report("a", 1, 1), address(2), START);
+    cr_assert_eq(table.reportTargets(START).size(), 1);
+    const TimePoint later = START + Duration(10'000);
+    cr_assert_eq(table.reportTargets(later).size(), 1);
+    cr_assert_eq(table.reportTargets(later + Duration(100)).size(), 0);
+    cr_assert_eq(table.reportTargets(later + Duration(1000)).size(), 1);
+    table.forgetSilent(START + Duration(59'999));
+    cr_assert_eq(table.hosts().size(), 1);
+    table.forgetSilent(START + Duration(60'000));
+    cr_assert(table.hosts().empty());
+}
+
+Test(hosttable, anAddressBelongsToTheHostHeardFromItLast)
+{
+    HostTable table(HostId("self"));
+    table.onAddress(HostId("at 10.0.0.2:7000"), address(2), START);
+    table.onReport(report("a", 1, 1), address(2), START);
+    cr_assert_eq(table.hosts().size(), 1);
+    cr_assert_eq(table.sharers(START), 2);
+}
+
+Test(hosttable, aRecordDoesNotReplaceWhatReportsShow)
+{
+    HostTable table(HostId("self"));
+    table.onReport(report("a", 1, 1), address(2), START);
+    table.onAddress(HostId("a"), address(9), START);
+    cr_assert(table.hosts().at(HostId("a")).peerAddress == address(2));
+    table.onAddress(HostId("a"), address(9), START + Duration(5000));
+    cr_assert(table.hosts().at(HostId("a")).peerAddress == address(9), "a host that moved while it was silent");
+}
+
+Test(peerload, sumsAgreeWithAddingUpEverything)
+{
+    std::mt19937_64 random(7);
+    PeerLoad load;
+    std::map<std::pair<std::string, ShortHash>, UpstreamCounters> naive;
+    for (int n = 0; n < 3000; ++n) {
+        HostReport it = report("h" + std::to_string(random() % 5), 1, 1);
+        if (random() % 20 == 0) {
+            load.onSilent(it.host);
+            std::erase_if(naive, [&](const auto& e) { return e.first.first == it.host.value(); });
+            continue;
+        }
+        for (int k = 0; k < 3; ++k) {
+            const UpstreamCounters counters { .upstream = static_cast<ShortHash>(random() % 6),
+                .inFlight = static_cast<std::uint16_t>(random() % 9),
+                .pendingPrefillMs = static_cast<std::uint32_t>(random() % 500) };
+            it.upstreams.items.push_back(counters);
+            naive[{ it.host.value(), counters.upstream }] = counters;
+        }
+        load.onReport(it, false);
+        for (ShortHash upstream = 0; upstream < 6; ++upstream) {
+            PeerLoadSum expected;
+            for (const auto& [key, counters] : naive) {
+                if (key.second == upstream) {
+                    expected.inFlight += counters.inFlight;
+                    expected.pendingPrefillMs += counters.pendingPrefillMs;
+                }
+            }
+            cr_assert_eq(load.at(upstream).inFlight, expected.inFlight);
+            cr_assert_eq(load.at(upstream).pendingPrefillMs, expected.pendingPrefillMs);
+        }
+    }
+}
+
+Test(peerload, lostReportsLoseNoAnswers)
+{
+    PeerLoad load;
+    HostReport it = report("a", 1, 1);
+    it.upstreams.items = { { .upstream = 1, .good = 10, .failed = 2 } };
+    cr_assert(load.onReport(it, false).empty(), "what was counted before the first report is not news");
+    it.upstreams.items = { { .upstream = 1, .good = 15, .failed = 6 } };
+    const auto answers = load.onReport(it, false);
+    cr_assert_eq(answers.size(), 1);
+    cr_assert_eq(answers[0].good, 5);
+    cr_assert_eq(answers[0].failed, 4);
+}
+
+Test(rendezvous, oneHostLeavingMovesOnlyItsSubjects)
+{
+    std::vector<HostId> hosts;
+    for (int n = 0; n < 9; ++n)
+        hosts.emplace_back("h" + std::to_string(n));
+    const HostId gone = hosts[4];
+    std::vector<HostId> rest = hosts;
+    rest.erase(rest.begin() + 4);
+    int moved = 0;
+    for (int n = 0; n < 1000; ++n) {
+        const std::string subject = "s" + std::to_string(n);
+        const HostId before = firstByRendezvous(hosts, subject);
+        cr_assert(before == gone || before == firstByRendezvous(rest, subject));
+        moved += before == gone ? 1 : 0;
+    }
+    cr_assert(moved > 60 && moved < 170);
+}
--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -217,7 +217,7 @@
     } else {
         m_state = State::Idle;
         m_request = {};
-        m_useUntil = m_clock.now() + m_idleLimit;
+        m_idleSince = m_clock.now();
         if (m_owner)
             m_owner->onIdle(shared_from_this());
     }
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -37,7 +37,8 @@
     void resume();
     bool anythingSent() const { return m_sentBytes > 0; }
     void close();
-    bool isExpired(TimePoint now) const { return now >= m_useUntil; }
+    Duration idleFor(TimePoint now) const { return now - m_idleSince; }
+    bool isExpired(TimePoint now) const { return idleFor(now) >= m_idleLimit; }
 
 private:
     enum class State { New, Connecting, Idle, Busy, Closed };
@@ -72,7 +73,7 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<ResponseParser> m_parser;
     State m_state = State::New;
-    TimePoint m_useUntil {};
+    TimePoint m_idleSince {};
     Duration m_idleLimit {};
     bool m_reading = false;
     bool m_paused = false;
--- a/src/http/internal/endpoint.cpp
+++ b/src/http/internal/endpoint.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <array>
 #include <charconv>
 
 namespace fireflyhaven::http {
@@ -20,4 +21,18 @@
     return valid ? std::optional(it) : std::nullopt;
 }
 
+std::uint32_t Endpoint::ipNumber() const
+{
+    in_addr address {};
+    inet_pton(AF_INET, ip.c_str(), &address);
+    return ntohl(address.s_addr);
+}
+
+void Endpoint::setIpNumber(std::uint32_t number)
+{
+    const in_addr address { .s_addr = htonl(number) };
+    std::array<char, INET_ADDRSTRLEN> text {};
+    ip = inet_ntop(AF_INET, &address, text.data(), text.size());
+}
+
 }
--- a/src/http/internal/eventclient.cpp
+++ b/src/http/internal/eventclient.cpp
@@ -78,7 +78,7 @@
 
     std::unique_ptr<ClientCall> start(const Endpoint& peer, OutgoingRequest request, IAnswerObserver& observer) override
     {
-        auto connection = request.freshConnection ? nullptr : takeIdle(peer);
+        auto connection = takeIdle(peer, request.freshFor);
         if (!connection)
             connection = open(peer);
         auto call = std::make_unique<PooledCall>(connection, observer);
@@ -133,7 +133,7 @@
         std::vector<std::shared_ptr<ClientConnection>> idle;
     };
 
-    std::shared_ptr<ClientConnection> takeIdle(const Endpoint& peer)
+    std::shared_ptr<ClientConnection> takeIdle(const Endpoint& peer, std::optional<Duration> freshFor)
     {
         const auto it = m_peers.find(peer);
         if (it == m_peers.end())
@@ -143,6 +143,8 @@
         if (again == m_peers.end() || again->second.idle.empty())
             return nullptr;
         auto connection = again->second.idle.back();
+        if (freshFor && connection->idleFor(m_clock.now()) > *freshFor)
+            return nullptr;
         again->second.idle.pop_back();
         return connection;
     }
--- /dev/null
+++ b/src/rollout/tests/rollout_test.cpp
@@ -0,0 +1,255 @@
+#include "fireflyhaven/rollout/rolloutboard.h"
+
+#include <random>
+
+#include <criterion/criterion.h>
+
+using namespace fireflyhaven;
+using namespace fireflyhaven::rollout;
+using catalog::RolloutPhase;
+using catalog::SoftwareVersion;
+
+namespace {
+
+constexpr TimePoint START { Duration(100'000) };
+constexpr Duration ORDER_TIME { 24'000 };
+const ServiceName SERVICE("s");
+const SoftwareVersion OLD("v1");
+const SoftwareVersion NEW("v2");
+const catalog::RouteName ROUTE("r");
+const VersionCapacity EQUAL { .newSlots = 64, .oldSlots = 64, .newUpstreams = 4 };
+
+// Several hosts that tell each other by reports, and one service whose new version may be bad.
+class Deployment {
+public:
+    explicit Deployment(int hosts)
+        : m_boards(static_cast<std::size_t>(hosts))
+        , m_reports(static_cast<std::size_t>(hosts))
+    {
+    }
+
+    void order()
+    {
+        for (RolloutBoard& it : m_boards) {
+            it.onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, START);
+            it.onCapacity(SERVICE, EQUAL);
+        }
+    }
+
+    RolloutBoard& board(std::size_t n) { return m_boards[n]; }
+
+    // Sends one request of the session through the host; returns whether it went to the new version.
+    bool request(std::size_t host, std::uint64_t session, TimePoint now, bool goodOnNew)
+    {
+        RolloutBoard& it = m_boards[host];
+        const VersionWish wish = it.wishFor(SERVICE, session, now);
+        const bool onNew = wish.only == NEW;
+        const SoftwareVersion version = onNew ? NEW : OLD;
+        const UpstreamId upstream("u" + std::to_string(m_random() % 4));
+        it.onSessionUsed(SERVICE, session, version, now);
+        it.onAnswer(SERVICE, ROUTE, version, upstream, !onNew || goodOnNew, now);
+        return onNew;
+    }
+
+    void exchangeReports(TimePoint now)
+    {
+        for (std::size_t from = 0; from < m_boards.size(); ++from) {
+            fleet::HostReport report { .host = HostId(std::to_string(from)) };
+            m_boards[from].fillReport(report, now);
+            for (std::size_t to = 0; to < m_boards.size(); ++to) {
+                if (to != from)
+                    m_boards[to].onReport(m_reports[from], report, now);
+            }
+            m_reports[from] = report;
+        }
+        for (RolloutBoard& it : m_boards)
+            it.tick(now);
+    }
+
+    std::mt19937_64& random() { return m_random; }
+
+private:
+    std::vector<RolloutBoard> m_boards;
+    std::vector<fleet::HostReport> m_reports;
+    std::mt19937_64 m_random { 11 };
+};
+
+struct Outcome {
+    int all = 0;
+    int onNew = 0;
+    int badAnswers = 0;
+    int afterFiftyBad = 0;
+    std::optional<TimePoint> rejectedAt;
+};
+
+// 40 requests a second through random hosts for the time of the order; each answer of the new version fails with the
+// share that `badShare` gives for its time.
+template <typename BadShare> Outcome play(Deployment& it, int hosts, BadShare badShare)
+{
+    Outcome outcome;
+    it.order();
+    for (TimePoint now = START; now < START + ORDER_TIME; now += Duration(25)) {
+        const auto host = static_cast<std::size_t>(it.random()() % static_cast<unsigned>(hosts));
+        const std::uint64_t session = it.random()() % 400;
+        const double share = badShare(now - START);
+        const bool good = static_cast<double>(it.random()() % 1000) >= share * 1000;
+        const bool onNew = it.request(host, session * 7919 + 1, now, good);
+        ++outcome.all;
+        outcome.onNew += onNew ? 1 : 0;
+        outcome.badAnswers += onNew && !good ? 1 : 0;
+        if ((now - START).count() % 250 == 0)
+            it.exchangeReports(now);
+        if (!outcome.rejectedAt && it.board(0).stageOf(SERVICE, now) == Stage::RolledBack)
+            outcome.rejectedAt = now;
+    }
+    return outcome;
+}
+
+}
+
+Test(rollout, aGoodVersionServesAllBeforeTheOrderEnds)
+{
+    Deployment it(8);
+    const Outcome outcome = play(it, 8, [](Duration) { return 0.0; });
+    cr_assert_not(outcome.rejectedAt.has_value());
+    const TimePoint end = START + ORDER_TIME - Duration(4000);
+    cr_assert(it.board(0).stageOf(SERVICE, end) == Stage::Replacing);
+    cr_assert_not(
+        it.board(0).statusDue(SERVICE, 3, end)->phase == RolloutPhase::Completed, "requests still run on the old");
+    cr_assert(it.board(0).statusDue(SERVICE, 0, end)->phase == RolloutPhase::Completed);
+    const TimePoint last = START + ORDER_TIME - Duration(1000);
+    cr_assert(it.board(0).statusDue(SERVICE, 3, last)->phase == RolloutPhase::Completed);
+}
+
+// Pattern: a part of the answers of the new version fails from the start.
+Test(rollout, aBadVersionIsTakenBackWithinTheBoundOfExposure)
+{
+    for (const double share : { 0.3, 0.5, 1.0 }) {
+        Deployment it(8);
+        const Outcome outcome = play(it, 8, [share](Duration) { return share; });
+        cr_assert(outcome.rejectedAt.has_value());
+        cr_assert_lt(outcome.onNew, 0.15 * outcome.all + 30, "share %f: %d of %d", share, outcome.onNew, outcome.all);
+        cr_assert_lt(outcome.badAnswers, 15, "share %f: %d bad answers", share, outcome.badAnswers);
+        cr_assert(it.board(0).statusDue(SERVICE, 0, START + ORDER_TIME)->phase == RolloutPhase::RolledBack);
+    }
+}
+
+// Pattern: the new version turns bad late, or only once all requests go there.
+Test(rollout, aVersionThatTurnsBadLaterIsTakenBack)
+{
+    for (const int from : { 4000, 9000, 14'500, 16'000 }) {
+        Deployment it(8);
+        const Outcome outcome = play(it, 8, [from](Duration age) { return age >= Duration(from) ? 0.4 : 0.0; });
+        cr_assert(outcome.rejectedAt.has_value(), "bad from %d on", from);
+        cr_assert_lt(*outcome.rejectedAt - START, Duration(from + 5000), "bad from %d on", from);
+        cr_assert_lt(
+            outcome.onNew, 0.15 * outcome.all + 30, "bad from %d on: %d of %d", from, outcome.onNew, outcome.all);
+    }
+}
+
+Test(rollout, aGoodVersionIsSeldomTakenBack)
+{
+    int rejected = 0;
+    for (unsigned seed = 0; seed < 40; ++seed) {
+        Deployment it(8);
+        it.random().seed(seed);
+        rejected += play(it, 8, [](Duration) { return 0.01; }).rejectedAt ? 1 : 0;
+    }
+    cr_assert_leq(rejected, 1);
+}
+
+Test(rollout, oneFailingUpstreamIsNotABadVersion)
+{
+    RolloutBoard it;
+    it.onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, START);
+    it.onCapacity(SERVICE, EQUAL);
+    for (int n = 0; n < 20; ++n)
+        it.onAnswer(SERVICE, ROUTE, NEW, UpstreamId("u1"), false, START);
+    cr_assert(it.stageOf(SERVICE, START + Duration(2000)) == Stage::Trial);
+    it.onAnswer(SERVICE, ROUTE, NEW, UpstreamId("u2"), false, START);
+    cr_assert(it.stageOf(SERVICE, START + Duration(2000)) == Stage::RolledBack);
+}
+
+Test(rollout, sessionsAtWorkStayOnTheirVersionInTheFirstHalf)
+{
+    Deployment it(8);
+    std::map<std::uint64_t, std::pair<bool, TimePoint>> last;
+    int moved = 0;
+    int followed = 0;
+    int onNew = 0;
+    for (TimePoint now = START - Duration(6000); now < START + Duration(12'000); now += Duration(20)) {
+        if (now == START)
+            it.order();
+        if ((now - START).count() % 200 == 0)
+            it.exchangeReports(now);
+        const auto host = static_cast<std::size_t>(it.random()() % 8);
+        const std::uint64_t session = (it.random()() % 300) * 104'729 + 3;
+        bool isNew = false;
+        if (now < START)
+            it.board(host).onSessionUsed(SERVICE, session, OLD, now);
+        else
+            isNew = it.request(host, session, now, true);
+        const auto before = last.find(session);
+        if (before != last.end() && now - before->second.second < Duration(5000)) {
+            ++followed;
+            moved += before->second.first != isNew ? 1 : 0;
+        }
+        onNew += isNew ? 1 : 0;
+        last[session] = { isNew, now };
+    }
+    cr_assert_gt(followed, 300);
+    cr_assert_gt(onNew, 15);
+    cr_assert_leq(moved, 3, "%d sessions moved", moved);
+}
+
+Test(rollout, aRestartedHostKeepsStepWithTheOthers)
+{
+    RolloutBoard old;
+    old.onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, START);
+    RolloutBoard restarted;
+    const TimePoint now = START + Duration(15'000);
+    restarted.onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, now);
+    restarted.onCapacity(SERVICE, EQUAL);
+    cr_assert(restarted.stageOf(SERVICE, now) == Stage::Settling);
+    fleet::HostReport report;
+    old.fillReport(report, now);
+    restarted.onReport({}, report, now);
+    restarted.tick(now);
+    cr_assert(restarted.stageOf(SERVICE, now) == Stage::Widening);
+}
+
+Test(rollout, aVerdictInTheStoreHoldsForAHostThatStartsLater)
+{
+    RolloutBoard it;
+    it.onStatus({ .service = SERVICE, .target = NEW, .phase = RolloutPhase::RolledBack });
+    it.onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, START);
+    cr_assert(it.wishFor(SERVICE, 1, START).except == NEW);
+    cr_assert_not(it.statusDue(SERVICE, 0, START).has_value());
+    it.onWithdrawn(SERVICE);
+    cr_assert(it.wishFor(SERVICE, 1, START).except == NEW, "its upstreams are still there");
+}
+
+Test(rollout, aVersionWithoutAnOrderGetsNothingForAWhile)
+{
+    RolloutBoard it;
+    it.onVersionSeen(SERVICE, OLD, START);
+    cr_assert_not(it.wishFor(SERVICE, 1, START).except.has_value(), "the only version is used at once");
+    it.onVersionSeen(SERVICE, NEW, START + Duration(10'000));
+    cr_assert(it.wishFor(SERVICE, 1, START + Duration(10'500)).except == NEW);
+    cr_assert_not(it.wishFor(SERVICE, 1, START + Duration(14'000)).except.has_value());
+}
+
+Test(rollout, sessionsDoNotMoveToAVersionWithoutCapacity)
+{
+    RolloutBoard it;
+    it.onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, START);
+    it.onCapacity(SERVICE, { .newSlots = 16, .oldSlots = 64, .newUpstreams = 1 });
+    it.tick(START + Duration(20'000));
+    cr_assert(it.stageOf(SERVICE, START + Duration(20'000)) == Stage::Trial);
+    it.onCapacity(SERVICE, EQUAL);
+    it.tick(START + Duration(20'100));
+    cr_assert(it.stageOf(SERVICE, START + Duration(20'100)) == Stage::Widening);
+    it.onCapacity(SERVICE, { .newSlots = 16, .oldSlots = 64, .newUpstreams = 1 });
+    it.tick(START + Duration(20'200));
+    cr_assert(it.stageOf(SERVICE, START + Duration(20'200)) == Stage::Widening, "sessions don't move back");
+}
--- a/src/store/internal/keyedfeed.cpp
+++ b/src/store/internal/keyedfeed.cpp
@@ -40,14 +40,14 @@
         return std::nullopt;
     }
     m_tailing = true;
-    m_confirmedAt = m_snapshotBegan;
+    m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint {}), m_snapshotBegan - page.sourceAge);
     return FeedUpdate { .replacesAll = true, .records = std::move(m_collected) };
 }
 
 FeedUpdate KeyedFeed::onRecords(const RecordBatch& batch, TimePoint now)
 {
     m_offset = std::max(m_offset, batch.nextOffset);
-    m_confirmedAt = m_requestedAt;
+    m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint {}), m_requestedAt - batch.sourceAge);
     onSucceeded(now);
     return { .replacesAll = false, .records = batch.records };
 }
--- /dev/null
+++ b/src/store/internal/relaylog.cpp
@@ -0,0 +1,57 @@
+#include "fireflyhaven/store/relaylog.h"
+
+namespace fireflyhaven::store {
+
+RelayLog::RelayLog(std::size_t maxRecords)
+    : m_maxRecords(maxRecords)
+{
+}
+
+void RelayLog::onUpdate(const FeedUpdate& update, const std::vector<bool>& significant, std::uint64_t nextOffset)
+{
+    if (update.replacesAll) {
+        // Keys that are gone without a record of it can't be told to readers of the tail: they start over.
+        m_newest.clear();
+        m_records.clear();
+        m_firstOffset = nextOffset;
+        m_hasSnapshot = true;
+    }
+    for (std::size_t n = 0; n < update.records.size(); ++n) {
+        const KeyedRecord& it = update.records[n];
+        if (it.value)
+            m_newest[it.key] = it;
+        else
+            m_newest.erase(it.key);
+        if (!update.replacesAll && significant[n])
+            m_records.push_back({ .endOffset = nextOffset, .record = it });
+    }
+    m_nextOffset = nextOffset;
+    while (m_records.size() > m_maxRecords) {
+        m_firstOffset = m_records.front().endOffset;
+        m_records.pop_front();
+    }
+}
+
+std::optional<RecordBatch> RelayLog::read(std::uint64_t offset) const
+{
+    if (!m_hasSnapshot || offset < m_firstOffset)
+        return std::nullopt;
+    RecordBatch batch { .records = {}, .nextOffset = std::max(offset, m_nextOffset) };
+    for (const Kept& it : m_records) {
+        if (it.endOffset > offset)
+            batch.records.push_back(it.record);
+    }
+    return batch;
+}
+
+std::optional<SnapshotPage> RelayLog::newest() const
+{
+    if (!m_hasSnapshot)
+        return std::nullopt;
+    SnapshotPage page { .records = {}, .endOffset = m_nextOffset };
+    for (const auto& [key, it] : m_newest)
+        page.records.push_back(it);
+    return page;
+}
+
+}
