--- a/include/fireflyhaven/balancing/types/demand.h
+++ b/include/fireflyhaven/balancing/types/demand.h
@@ -21,8 +21,8 @@
     ServiceName service;
     // The only version that may serve it, where set.
     std::optional<catalog::SoftwareVersion> onlyVersion;
-    // A version that may not serve it, where set.
-    std::optional<catalog::SoftwareVersion> notVersion;
+    // Versions that may not serve it.
+    std::vector<catalog::SoftwareVersion> notVersions;
     // Upstreams tried already for this request.
     std::vector<UpstreamId> excluded;
     // Empty for services without models.
--- a/include/fireflyhaven/dispatch/retrybudgets.h
+++ b/include/fireflyhaven/dispatch/retrybudgets.h
@@ -23,7 +23,7 @@
 private:
     RetryBudget& budget(const ServiceName& service) { return m_budgets.try_emplace(service, m_options).first->second; }
 
-    const RetryOptions m_options;
+    RetryOptions m_options;
     std::map<ServiceName, RetryBudget> m_budgets;
 };
 
--- a/include/fireflyhaven/entry/flowcontext.h
+++ b/include/fireflyhaven/entry/flowcontext.h
@@ -21,6 +21,8 @@
     virtual Duration configurationAge(TimePoint now) const = 0;
     // Hosts that may be sending to upstreams, this one included.
     virtual int sharers(TimePoint now) const = 0;
+    // Whether requests of the kind may begin here; a host that leaves service soon takes only short ones.
+    virtual bool takesRequests(catalog::RouteKind kind, TimePoint now) const = 0;
 };
 
 struct FlowOptions {
--- a/include/fireflyhaven/rollout/rolloutboard.h
+++ b/include/fireflyhaven/rollout/rolloutboard.h
@@ -7,6 +7,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <map>
+#include <set>
 
 namespace fireflyhaven::rollout {
 
@@ -46,7 +47,7 @@
 // Which versions may serve a request.
 struct VersionWish {
     std::optional<catalog::SoftwareVersion> only;
-    std::optional<catalog::SoftwareVersion> except;
+    std::vector<catalog::SoftwareVersion> except;
 };
 
 // Slots of a service's upstreams on the new and on its other versions.
@@ -70,6 +71,7 @@
     // An upstream of this version is registered.
     void onVersionSeen(const ServiceName& service, const catalog::SoftwareVersion& version, TimePoint now);
     void onCapacity(const ServiceName& service, const VersionCapacity& capacity);
+    bool isRejected(const ServiceName& service, const catalog::SoftwareVersion& version) const;
 
     // Versions that a request of the session may go to; a request without a session stands for itself.
     VersionWish wishFor(const ServiceName& service, std::uint64_t sessionHash, TimePoint now) const;
@@ -124,13 +126,18 @@
     double goodShareOfOld(fleet::ShortHash route) const;
     Rollout* find(fleet::ShortHash id);
     bool isOnOldVersion(std::uint64_t sessionHash, TimePoint now) const;
-    VersionWish wishWithoutOrder(const ServiceName& service, TimePoint now) const;
+    // A version that appeared a moment ago, whose order may be on its way.
+    std::optional<catalog::SoftwareVersion> unexplainedVersion(const ServiceName& service, TimePoint now) const;
+    bool targetServes(const Rollout& it, std::uint64_t sessionHash, TimePoint now) const;
+    void reject(const ServiceName& service, const catalog::SoftwareVersion& version);
 
     const RolloutOptions m_options;
     std::map<ServiceName, Rollout> m_rollouts;
     // When each version of a service was first seen.
     std::map<ServiceName, std::map<catalog::SoftwareVersion, TimePoint>> m_versions;
     std::map<ServiceName, catalog::RolloutStatus> m_statuses;
+    // Versions that were found bad; they stay out of use, whatever is ordered after them.
+    std::map<ServiceName, std::set<catalog::SoftwareVersion>> m_rejected;
     // Sessions lately at work, here or on another host that told of them.
     absl::flat_hash_map<std::uint64_t, SessionUse> m_sessions;
     // Good answers and all answers of the versions that are not on trial, by route.
--- a/src/balancing/internal/balancer.cpp
+++ b/src/balancing/internal/balancer.cpp
@@ -41,7 +41,7 @@
     const auto& upstream = it.upstream;
     return upstream.service == demand.service && it.isReady(now) && !m_catalog.isEvacuated(upstream.dataCentre)
         && (!demand.onlyVersion || upstream.version == *demand.onlyVersion)
-        && (!demand.notVersion || upstream.version != *demand.notVersion)
+        && std::find(demand.notVersions.begin(), demand.notVersions.end(), upstream.version) == demand.notVersions.end()
         && std::find(demand.excluded.begin(), demand.excluded.end(), upstream.id) == demand.excluded.end();
 }
 
--- a/src/balancing/tests/balancing_test.cpp
+++ b/src/balancing/tests/balancing_test.cpp
@@ -278,7 +278,7 @@
     demand.onlyVersion = catalog::SoftwareVersion("v2");
     cr_assert(it.sendTo(demand) == UpstreamId("new"));
     demand.onlyVersion.reset();
-    demand.notVersion = catalog::SoftwareVersion("v2");
+    demand.notVersions = { catalog::SoftwareVersion("v2") };
     for (int n = 0; n < 10; ++n)
         cr_assert(it.sendTo(demand) != UpstreamId("new"));
 }
--- a/src/entry/internal/conductor.cpp
+++ b/src/entry/internal/conductor.cpp
@@ -39,6 +39,8 @@
                 || m_parts.catalog.isEvacuated(it.upstream.dataCentre))
                 continue;
             const bool isNew = it.upstream.version == target;
+            if (!isNew && m_parts.board.isRejected(service, it.upstream.version))
+                continue;
             (isNew ? capacity.newSlots : capacity.oldSlots) += it.upstream.slots;
             capacity.newUpstreams += isNew ? 1 : 0;
         }
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -24,7 +24,9 @@
 constexpr Duration CERTAIN_FOR { 3000 };
 // Keys are used up to this long before the bound for keys that were taken away.
 constexpr Duration REVOCATION_MARGIN { 500 };
-// After SIGTERM new requests are taken for this long: callers keep an address for a while.
+// After SIGTERM new requests are taken for this long: callers keep an address for a while. Streams may take longer to
+// end than others.
+constexpr Duration TAKE_STREAMS_AFTER_TERM { 1500 };
 constexpr Duration TAKE_REQUESTS_AFTER_TERM { 4000 };
 constexpr Duration END_MARGIN { 700 };
 // An upstream that acknowledges nothing for this long is taken as dead.
@@ -134,6 +136,13 @@
         return confirmed ? now - *confirmed : Duration(-1);
     }
     int sharers(TimePoint now) const override { return m_link.hosts().sharers(now); }
+    bool takesRequests(catalog::RouteKind kind, TimePoint now) const override
+    {
+        if (!m_drainingSince)
+            return true;
+        const bool streams = kind == catalog::RouteKind::Streaming;
+        return now - *m_drainingSince < (streams ? TAKE_STREAMS_AFTER_TERM : TAKE_REQUESTS_AFTER_TERM);
+    }
 
     void onConfiguration() override
     {
@@ -201,15 +210,7 @@
 
     bool takesCallers() const { return m_catalog.hasConfiguration() && !m_drainingSince; }
 
-    void serveCaller(std::shared_ptr<http::Exchange> exchange)
-    {
-        const TimePoint now = m_clock.now();
-        const bool tooLate = m_drainingSince && now - *m_drainingSince > TAKE_REQUESTS_AFTER_TERM;
-        if (!tooLate)
-            return m_door.serve(std::move(exchange));
-        const AttemptId attempt = m_codec.decodeRequest(exchange->head()).attempt;
-        exchange->answer(m_codec.encodeOwnAnswer(STATUS_UNAVAILABLE, attempt, Duration(0)), {});
-    }
+    void serveCaller(std::shared_ptr<http::Exchange> exchange) { m_door.serve(std::move(exchange)); }
 
     void serveReadiness(http::Exchange& exchange)
     {
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -77,6 +77,10 @@
             certain ? std::nullopt : std::optional(COME_BACK), "no route", now);
         return false;
     }
+    if (!m_context.host.takesRequests(m_route->kind, now)) {
+        answerOwn(FlowStep::Refused, STATUS_UNAVAILABLE, Duration(0), "this host leaves service", now);
+        return false;
+    }
     return !catalog.needsKeys() || m_route->anonymous || identify(now);
 }
 
@@ -147,7 +151,7 @@
     balancing::Demand it = demand(model);
     const rollout::VersionWish wish = m_context.rollouts.wishFor(m_service, sessionHash(), now);
     it.onlyVersion = wish.only;
-    it.notVersion = wish.except;
+    it.notVersions = wish.except;
     // Where the version wished for has no upstream left, the other one is better than none.
     if (wish.only && !m_context.balancer.isServable(it, now))
         it.onlyVersion.reset();
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -47,30 +47,26 @@
     if (known != m_rollouts.end() && known->second.order.target == order.target)
         return;
     Rollout it { .order = order, .learnedAt = now };
+    it.rejected = isRejected(order.service, order.target);
     const auto status = m_statuses.find(order.service);
     m_rollouts[order.service] = std::move(it);
     if (status != m_statuses.end())
         onStatus(status->second);
 }
 
-void RolloutBoard::onWithdrawn(const ServiceName& service)
-{
-    const auto it = m_rollouts.find(service);
-    // A version that was found bad stays out of use while its upstreams leave.
-    if (it != m_rollouts.end() && !it->second.rejected)
-        m_rollouts.erase(it);
-}
+void RolloutBoard::onWithdrawn(const ServiceName& service) { m_rollouts.erase(service); }
 
 void RolloutBoard::onStatus(const catalog::RolloutStatus& status)
 {
     m_statuses[status.service] = status;
+    if (status.phase == catalog::RolloutPhase::RolledBack)
+        reject(status.service, status.target);
     const auto it = m_rollouts.find(status.service);
     if (it == m_rollouts.end() || it->second.order.target != status.target)
         return;
     Rollout& rollout = it->second;
     rollout.written = status.phase;
     rollout.completed = rollout.completed || status.phase == catalog::RolloutPhase::Completed;
-    rollout.rejected = rollout.rejected || status.phase == catalog::RolloutPhase::RolledBack;
 }
 
 void RolloutBoard::onVersionSeen(const ServiceName& service, const catalog::SoftwareVersion& version, TimePoint now)
@@ -109,41 +105,67 @@
     return it != m_sessions.end() && !it->second.onNewVersion && now - it->second.usedAt < m_options.session;
 }
 
-VersionWish RolloutBoard::wishWithoutOrder(const ServiceName& service, TimePoint now) const
+std::optional<catalog::SoftwareVersion> RolloutBoard::unexplainedVersion(
+    const ServiceName& service, TimePoint now) const
 {
     const auto versions = m_versions.find(service);
     if (versions == m_versions.end() || versions->second.size() < 2)
-        return {};
+        return std::nullopt;
     for (const auto& [version, seenAt] : versions->second) {
         if (now - seenAt < m_options.unexplainedVersion)
-            return { .except = version };
+            return version;
     }
-    return {};
+    return std::nullopt;
 }
 
-VersionWish RolloutBoard::wishFor(const ServiceName& service, std::uint64_t sessionHash, TimePoint now) const
+bool RolloutBoard::targetServes(const Rollout& it, std::uint64_t sessionHash, TimePoint now) const
 {
-    const auto found = m_rollouts.find(service);
-    if (found == m_rollouts.end())
-        return wishWithoutOrder(service, now);
-    const Rollout& it = found->second;
-    const VersionWish onlyNew { .only = it.order.target };
-    const VersionWish onlyOld { .except = it.order.target };
     switch (stage(it, now)) {
     case Stage::Settling:
     case Stage::RolledBack:
-        return onlyOld;
+        return false;
     case Stage::Trial:
-        if (isOnOldVersion(sessionHash, now))
-            return onlyOld;
-        return isInRange(it, sessionHash, m_options.trialShare) ? onlyNew : onlyOld;
+        return !isOnOldVersion(sessionHash, now) && isInRange(it, sessionHash, m_options.trialShare);
     case Stage::Widening:
-        return isInRange(it, sessionHash, m_options.wideningShare) ? onlyNew : onlyOld;
+        return isInRange(it, sessionHash, m_options.wideningShare);
     case Stage::Replacing:
     case Stage::Completed:
-        return onlyNew;
+        return true;
     }
-    return {};
+    return false;
+}
+
+VersionWish RolloutBoard::wishFor(const ServiceName& service, std::uint64_t sessionHash, TimePoint now) const
+{
+    VersionWish wish;
+    const auto rejected = m_rejected.find(service);
+    if (rejected != m_rejected.end())
+        wish.except.assign(rejected->second.begin(), rejected->second.end());
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end()) {
+        if (const auto version = unexplainedVersion(service, now))
+            wish.except.push_back(*version);
+        return wish;
+    }
+    if (targetServes(found->second, sessionHash, now))
+        wish.only = found->second.order.target;
+    else
+        wish.except.push_back(found->second.order.target);
+    return wish;
+}
+
+bool RolloutBoard::isRejected(const ServiceName& service, const catalog::SoftwareVersion& version) const
+{
+    const auto it = m_rejected.find(service);
+    return it != m_rejected.end() && it->second.contains(version);
+}
+
+void RolloutBoard::reject(const ServiceName& service, const catalog::SoftwareVersion& version)
+{
+    m_rejected[service].insert(version);
+    const auto it = m_rollouts.find(service);
+    if (it != m_rollouts.end() && it->second.order.target == version)
+        it->second.rejected = true;
 }
 
 void RolloutBoard::onSessionUsed(
@@ -189,7 +211,7 @@
     // One failing upstream among several tells of that upstream, not of the version.
     const bool onSeveral = std::popcount(it.badUpstreams) > 1 || it.capacity.newUpstreams < 2;
     if (evident && onSeveral && !it.completed)
-        it.rejected = true;
+        reject(it.order.service, it.order.target);
 }
 
 void RolloutBoard::fillReport(fleet::HostReport& report, TimePoint now) const
@@ -236,7 +258,8 @@
             continue;
         // The host that learned of the order first sets the pace, so that a host that started anew keeps step.
         it->learnedAt = std::min(it->learnedAt, now - Duration(view.ageMs));
-        it->rejected = it->rejected || (view.rejected && !it->completed);
+        if (view.rejected && !it->completed)
+            reject(it->order.service, it->order.target);
         it->completed = it->completed || (view.completed && !it->rejected);
     }
     for (const fleet::PinnedSession& it : report.pinnedSessions.items) {
--- a/src/rollout/tests/rollout_test.cpp
+++ b/src/rollout/tests/rollout_test.cpp
@@ -19,6 +19,11 @@
 const catalog::RouteName ROUTE("r");
 const VersionCapacity EQUAL { .newSlots = 64, .oldSlots = 64, .newUpstreams = 4 };
 
+bool excludes(const VersionWish& wish, const SoftwareVersion& version)
+{
+    return std::find(wish.except.begin(), wish.except.end(), version) != wish.except.end();
+}
+
 // Several hosts that tell each other by reports, and one service whose new version may be bad.
 class Deployment {
 public:
@@ -223,20 +228,36 @@
     RolloutBoard it;
     it.onStatus({ .service = SERVICE, .target = NEW, .phase = RolloutPhase::RolledBack });
     it.onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, START);
-    cr_assert(it.wishFor(SERVICE, 1, START).except == NEW);
+    cr_assert(excludes(it.wishFor(SERVICE, 1, START), NEW));
     cr_assert_not(it.statusDue(SERVICE, 0, START).has_value());
     it.onWithdrawn(SERVICE);
-    cr_assert(it.wishFor(SERVICE, 1, START).except == NEW, "its upstreams are still there");
+    cr_assert(excludes(it.wishFor(SERVICE, 1, START), NEW), "its upstreams are still there");
+}
+
+// Vitalkör, mix, seed 798915736156: a second order replaced one whose version had been taken back, and the bad version
+// got a third of all requests again.
+Test(rollout, aBadVersionStaysOutOfUseWhenAnotherOneIsOrdered)
+{
+    RolloutBoard it;
+    it.onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, START);
+    it.onStatus({ .service = SERVICE, .target = NEW, .phase = RolloutPhase::RolledBack });
+    const SoftwareVersion third("v3");
+    it.onOrder({ .service = SERVICE, .target = third, .duration = ORDER_TIME }, START + Duration(5000));
+    const TimePoint now = START + Duration(8000);
+    for (std::uint64_t session = 0; session < 200; ++session) {
+        const VersionWish wish = it.wishFor(SERVICE, session * 7919, now);
+        cr_assert(wish.only == third || (excludes(wish, NEW) && excludes(wish, third)));
+    }
 }
 
 Test(rollout, aVersionWithoutAnOrderGetsNothingForAWhile)
 {
     RolloutBoard it;
     it.onVersionSeen(SERVICE, OLD, START);
-    cr_assert_not(it.wishFor(SERVICE, 1, START).except.has_value(), "the only version is used at once");
+    cr_assert(it.wishFor(SERVICE, 1, START).except.empty(), "the only version is used at once");
     it.onVersionSeen(SERVICE, NEW, START + Duration(10'000));
-    cr_assert(it.wishFor(SERVICE, 1, START + Duration(10'500)).except == NEW);
-    cr_assert_not(it.wishFor(SERVICE, 1, START + Duration(14'000)).except.has_value());
+    cr_assert(excludes(it.wishFor(SERVICE, 1, START + Duration(10'500)), NEW));
+    cr_assert(it.wishFor(SERVICE, 1, START + Duration(14'000)).except.empty());
 }
 
 Test(rollout, sessionsDoNotMoveToAVersionWithoutCapacity)
--- a/src/routing/internal/modelladder.cpp
+++ b/src/routing/internal/modelladder.cpp
@@ -7,6 +7,8 @@
 namespace {
 // Part of their weight that answers keep with each later one.
 constexpr double KEPT = 0.995;
+// Costs that differ by less than this factor count as alike.
+constexpr double SAME_COST = 1.001;
 }
 
 ModelLadder::ModelLadder(LadderOptions options)
@@ -43,7 +45,8 @@
     double least = expectedCost(service, models, from, before);
     for (std::size_t n = from + 1; n < models.size(); ++n) {
         const double cost = expectedCost(service, models, n, before);
-        if (cost < least) {
+        // Of two that cost alike the larger one needs fewer attempts.
+        if (cost <= least * SAME_COST) {
             best = n;
             least = cost;
         }
