--- a/include/fireflyhaven/store/recordstore.h
+++ b/include/fireflyhaven/store/recordstore.h
@@ -14,7 +14,10 @@
 
     static Outcome failed(StoreError error, std::string reason)
     {
-        return { .value = std::nullopt, .error = error, .reason = std::move(reason) };
+        Outcome outcome;
+        outcome.error = error;
+        outcome.reason = std::move(reason);
+        return outcome;
     }
 };
 
--- a/src/entry/tests/requestflow_test.cpp
+++ b/src/entry/tests/requestflow_test.cpp
@@ -195,6 +195,8 @@
 Test(models, anAnswerOfLowConfidenceIsDroppedBeforeItsFirstByte)
 {
     Deployment it;
+    for (int n = 0; n < 200; ++n)
+        it.ladder.onConfidence(ServiceName("engines"), catalog::ModelName("s"), n % 2 ? 90 : 10);
     FlowUnderTest flow(it, Deployment::request("/stream/1"));
     flow.head(stream(20));
     cr_assert_eq(flow.actions.cancelled, 1);
--- a/src/http/internal/eventserver.cpp
+++ b/src/http/internal/eventserver.cpp
@@ -18,8 +18,7 @@
 class AsioServer final : public EventServer, public std::enable_shared_from_this<AsioServer> {
 public:
     AsioServer(boost::asio::io_context& loop, const IClock& clock, EventServerOptions options, ExchangeHandler handler)
-        : m_loop(loop)
-        , m_acceptor(loop)
+        : m_acceptor(loop)
         , m_sweepTimer(loop)
         , m_acceptTimer(loop)
         , m_options(std::move(options))
@@ -126,7 +125,6 @@
         });
     }
 
-    boost::asio::io_context& m_loop;
     Tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_sweepTimer;
     boost::asio::steady_timer m_acceptTimer;
--- a/src/store/tests/readerchoice_test.cpp
+++ b/src/store/tests/readerchoice_test.cpp
@@ -23,7 +23,7 @@
             const fleet::HostReport report {
                 .host = HostId("h" + std::to_string(n)), .life = 1, .sequence = 1, .reachesStore = reaches[n]
             };
-            table.onReport(report, { .ip = "10.0.0.1", .port = 7000 }, now);
+            table.onReport(report, { .ip = "10.0.0." + std::to_string(n + 1), .port = 7000 }, now);
         }
         return table;
     }
