--- a/include/fireflyhaven/store/recordstore.h
+++ b/include/fireflyhaven/store/recordstore.h
@@ -3,6 +3,7 @@
 #include "fireflyhaven/store/types/records.h"
 
 #include <functional>
+#include <string_view>
 
 namespace fireflyhaven::store {
 
@@ -12,11 +13,11 @@
     StoreError error = StoreError::Unknown;
     std::string reason;
 
-    static Outcome failed(StoreError error, std::string reason)
+    static Outcome failed(StoreError error, std::string_view reason)
     {
         Outcome outcome;
         outcome.error = error;
-        outcome.reason = std::move(reason);
+        outcome.reason = reason;
         return outcome;
     }
 };
