--- a/include/fireflyhaven/dispatch/retrybudget.h
+++ b/include/fireflyhaven/dispatch/retrybudget.h
@@ -22,6 +22,7 @@
 class RetryBudget {
 public:
     explicit RetryBudget(RetryOptions options);
+    void setOptions(const RetryOptions& options) { m_options = options; }
 
     void onRequest();
     // Takes a retry from the budget where one is left.
--- a/include/fireflyhaven/dispatch/retrybudgets.h
+++ b/include/fireflyhaven/dispatch/retrybudgets.h
@@ -16,6 +16,14 @@
     {
     }
 
+    // Holds for services that appear from now on, and for the others from their next request on.
+    void setOptions(const RetryOptions& options)
+    {
+        m_options = options;
+        for (auto& [service, it] : m_budgets)
+            it.setOptions(options);
+    }
+
     void onRequest(const ServiceName& service) { budget(service).onRequest(); }
     // Takes a send beyond the request's first one, where the budget allows it.
     bool take(const ServiceName& service, int sendsMade) { return budget(service).take(sendsMade); }
--- a/include/fireflyhaven/entry/entryhost.h
+++ b/include/fireflyhaven/entry/entryhost.h
@@ -16,6 +16,8 @@
         const IWireCodec& codec, store::IRecordStore& store, EntrySettings settings);
     virtual ~EntryHost() = default;
 
+    // Takes bounds and limits that changed into use. Addresses stay as they were at the start.
+    virtual void reload(const EntrySettings& settings) = 0;
     // Leaves service: takes no new callers, answers what was read, then calls `done`.
     virtual void shutDown(std::function<void()> done) = 0;
 };
--- a/include/fireflyhaven/rollout/rolloutboard.h
+++ b/include/fireflyhaven/rollout/rolloutboard.h
@@ -63,6 +63,7 @@
 class RolloutBoard {
 public:
     explicit RolloutBoard(RolloutOptions options = {});
+    void setOptions(const RolloutOptions& options) { m_options = options; }
 
     void onOrder(const catalog::RolloutOrder& order, TimePoint now);
     void onWithdrawn(const ServiceName& service);
@@ -131,7 +132,7 @@
     bool targetServes(const Rollout& it, std::uint64_t sessionHash, TimePoint now) const;
     void reject(const ServiceName& service, const catalog::SoftwareVersion& version);
 
-    const RolloutOptions m_options;
+    RolloutOptions m_options;
     std::map<ServiceName, Rollout> m_rollouts;
     // When each version of a service was first seen.
     std::map<ServiceName, std::map<catalog::SoftwareVersion, TimePoint>> m_versions;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -42,6 +42,8 @@
         .maxAttempts = 100 };
 }
 
+rollout::RolloutOptions rolloutOptions(const ServiceBounds& bounds) { return { .session = bounds.session }; }
+
 class AsioEntryHost final : public EntryHost, public IHostView, public ICatalogListener, public IReportPart {
 public:
     AsioEntryHost(boost::asio::io_context& loop, const IClock& clock, const IWireCodec& codec,
@@ -52,7 +54,7 @@
         , m_settings(std::move(settings))
         , m_balancer(m_catalog, m_peerLoad,
               { .ownDataCentre = m_settings.dataCentre, .seed = stableHash(m_settings.host.value()) })
-        , m_rollouts({ .session = m_settings.bounds.session })
+        , m_rollouts(rolloutOptions(m_settings.bounds))
         , m_retries(retryOptions(m_settings.bounds))
         , m_client(http::EventClient::create(loop, clock, { .userTimeout = UPSTREAM_USER_TIMEOUT }))
         , m_log(clock)
@@ -107,6 +109,19 @@
         return {};
     }
 
+    void reload(const EntrySettings& settings) override
+    {
+        const bool moved = settings.frontend != m_settings.frontend || settings.readiness != m_settings.readiness
+            || settings.directory != m_settings.directory || settings.firstPeerPort != m_settings.firstPeerPort;
+        if (moved)
+            spdlog::warn("reload: addresses changed; they are used from the next start on");
+        m_settings.bounds = settings.bounds;
+        m_settings.limits = settings.limits;
+        m_rollouts.setOptions(rolloutOptions(settings.bounds));
+        m_retries.setOptions(retryOptions(settings.bounds));
+        spdlog::info("reload: bounds taken into use");
+    }
+
     void shutDown(std::function<void()> done) override
     {
         if (m_drainingSince)
@@ -309,7 +324,7 @@
     boost::asio::io_context& m_loop;
     const IClock& m_clock;
     const IWireCodec& m_codec;
-    const EntrySettings m_settings;
+    EntrySettings m_settings;
     catalog::Catalog m_catalog;
     fleet::PeerLoad m_peerLoad;
     balancing::Balancer m_balancer;
