Overload and slow versions: budgets by window, no large model while upstreams are congested, times judged apart

A version that is slow by a factor of 3 to 4 was found late or not at all. Change: retry budget by sliding window, as the bound is; a larger model is asked only while the wait ahead stays under half of the service's tightest target, else the answer passes as it is; two keep-alive probes; failures and times of a version are judged apart: times as the mean logarithm of observed over expected, over all routes and hosts, with a longer trial while unsure; a completed roll-out overrides what speaks against its version.

--- a/include/fireflyhaven/balancing/balancer.h
+++ b/include/fireflyhaven/balancing/balancer.h
@@ -45,6 +45,14 @@
     Duration expectedFirstToken() const { return ownTime + timeAhead; }
 };
 
+// Expected time to the first token at an upstream: the request's own part, and that of the requests ahead of it.
+struct Outlook {
+    Duration ownTime {};
+    Duration timeAhead {};
+
+    Duration firstToken() const { return ownTime + timeAhead; }
+};
+
 // Picks an upstream for each request: the one at which its first token is expected soonest, with weight on prompt parts
 // that it has in its cache. Knows of the load of this host at once, and of the others' from their reports. Leaves
 // upstreams that fail, and tries them again by single requests. Does no I/O.
@@ -57,8 +65,8 @@
     std::optional<Ticket> send(const Demand& demand, int hosts, TimePoint now);
     // Whether any upstream could serve the demand at all, were it not busy.
     bool isServable(const Demand& demand, TimePoint now) const;
-    // Expected time to the first token at the best upstream; no value where none may take the request now.
-    std::optional<Duration> expect(const Demand& demand, int hosts, TimePoint now);
+    // What a send would meet at the best upstream now; no value where none may take the request.
+    std::optional<Outlook> outlook(const Demand& demand, int hosts, TimePoint now);
 
     void onFirstToken(Ticket& ticket, TimePoint now);
     void onEnded(const Ticket& ticket, SendOutcome outcome, TimePoint now);
--- a/include/fireflyhaven/catalog/catalog.h
+++ b/include/fireflyhaven/catalog/catalog.h
@@ -46,6 +46,8 @@
     const Configuration& configuration() const { return m_configuration; }
     const RouteTable& routes() const { return m_routes; }
     const Service* service(const ServiceName& name) const;
+    // Shortest target latency of the routes to the service; no value where no route leads to it.
+    std::optional<Duration> tightestTarget(const ServiceName& service) const;
     // No value where no workspace holds the key.
     std::optional<Caller> callerOf(std::string_view key) const;
     bool needsKeys() const { return !m_configuration.workspaces.empty(); }
@@ -75,6 +77,7 @@
     bool m_configured = false;
     RouteTable m_routes;
     absl::flat_hash_map<std::string, Caller> m_callers;
+    std::map<ServiceName, Duration> m_tightestTargets;
     std::map<ServiceName, RolloutState> m_rollouts;
     std::set<DataCentreId> m_evacuated;
     std::map<UpstreamId, UpstreamState> m_upstreams;
--- a/include/fireflyhaven/dispatch/retrybudget.h
+++ b/include/fireflyhaven/dispatch/retrybudget.h
@@ -3,34 +3,39 @@
 #include "fireflyhaven/common/clock.h"
 
 #include <algorithm>
+#include <deque>
 #include <random>
 
 namespace fireflyhaven::dispatch {
 
 struct RetryOptions {
-    // Retries per request, on average.
+    // Retries in a window per request in it.
     double ratio = 0.1;
-    // Retries that may be saved up.
-    double burst = 10;
+    // Retries in a window beyond that.
+    double slack = 10;
+    Duration window { 10'000 };
     int maxAttempts = 3;
     Duration firstBackoff { 20 };
     Duration longestBackoff { 1000 };
 };
 
-// Bounds the retries of a host or of an upstream to a share of its requests, so that failing upstreams do not turn into
-// a storm of retries.
+// Bounds the retries in any window of time to a share of the requests in it, so that failing upstreams do not turn into
+// a storm of retries. What the requests of a window allow may all be used at one moment of it: upstreams fail together.
 class RetryBudget {
 public:
     explicit RetryBudget(RetryOptions options);
     void setOptions(const RetryOptions& options) { m_options = options; }
 
-    void onRequest();
+    void onRequest(TimePoint now);
     // Takes a retry from the budget where one is left.
-    bool take(int attemptsMade);
+    bool take(int attemptsMade, TimePoint now);
 
 private:
+    void expire(TimePoint now);
+
     RetryOptions m_options;
-    double m_tokens;
+    std::deque<TimePoint> m_requests;
+    std::deque<TimePoint> m_retries;
 };
 
 // Exponential backoff with full jitter.
--- a/include/fireflyhaven/dispatch/retrybudgets.h
+++ b/include/fireflyhaven/dispatch/retrybudgets.h
@@ -24,9 +24,9 @@
             it.setOptions(options);
     }
 
-    void onRequest(const ServiceName& service) { budget(service).onRequest(); }
+    void onRequest(const ServiceName& service, TimePoint now) { budget(service).onRequest(now); }
     // Takes a send beyond the request's first one, where the budget allows it.
-    bool take(const ServiceName& service, int sendsMade) { return budget(service).take(sendsMade); }
+    bool take(const ServiceName& service, int sendsMade, TimePoint now) { return budget(service).take(sendsMade, now); }
 
 private:
     RetryBudget& budget(const ServiceName& service) { return m_budgets.try_emplace(service, m_options).first->second; }
--- a/include/fireflyhaven/entry/flowcontext.h
+++ b/include/fireflyhaven/entry/flowcontext.h
@@ -34,6 +34,10 @@
     // Longest pause in a stream before it is resumed elsewhere, as a factor of the longest pause in time, beside the
     // time that its upstream needs for the prompts it reads.
     double gapFactor = 1.5;
+    // A larger model is asked while the wait ahead of it, with half of its own time, stays under this part of the
+    // tightest target of the service: its prompts hold up all others. Below the idle wait it is always asked.
+    double escalationPart = 0.5;
+    Duration idleWait { 100 };
     // Idle time after which a connection is not used for a request that may run once only.
     Duration freshFor { 2000 };
 };
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -99,8 +99,9 @@
     bool mayTryAgain(bool ran, TimePoint now) const;
     // Asks a larger model where the answer's confidence is too low; true where it does.
     bool escalate(TimePoint now);
-    void judgeVersion(bool good, TimePoint now);
-    bool isFarTooSlow(TimePoint now) const;
+    bool isCongested(const balancing::Outlook& outlook) const;
+    void judgeVersion(bool failed, std::optional<double> factor, TimePoint now);
+    std::optional<double> timeFactor(TimePoint now) const;
     void onWholeAnswer(TimePoint now);
     void passEvent(const StreamEvent& event);
     void giveUp(std::string_view reason, TimePoint now);
--- a/include/fireflyhaven/fleet/types/hostreport.h
+++ b/include/fireflyhaven/fleet/types/hostreport.h
@@ -2,6 +2,7 @@
 
 #include "fireflyhaven/common/types/ids.h"
 #include "fireflyhaven/http/types/endpoint.h"
+#include "fireflyhaven/quality/timefactors.h"
 
 #include <cstdint>
 #include <vector>
@@ -49,12 +50,17 @@
     ShortHash rollout = 0;
     ShortHash route = 0;
     std::uint32_t good = 0;
-    std::uint32_t bad = 0;
-    // Bitmap of hashed upstreams that gave a bad answer.
+    std::uint32_t failed = 0;
+    // Bitmap of hashed upstreams that gave a failed answer.
     std::uint32_t badUpstreams = 0;
+    // Observed over expected times of the answers.
+    quality::TimeFactors times;
 
     friend bool operator==(const TrialCounters&, const TrialCounters&) = default;
-    template <typename Archive> void serialize(Archive& archive) { archive(rollout, route, good, bad, badUpstreams); }
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(rollout, route, good, failed, badUpstreams, times);
+    }
 };
 
 // How a host sees a roll-out.
--- a/include/fireflyhaven/rollout/rolloutboard.h
+++ b/include/fireflyhaven/rollout/rolloutboard.h
@@ -13,13 +13,15 @@
 
 struct RolloutOptions {
     // Share of the sessions that try a new version. Stays well under the share that a bad one may get.
-    double trialShare = 0.09;
+    double trialShare = 0.11;
     // Sessions at work when the order came stay where they are; so long passes until their list has gone round.
     Duration settling { 1000 };
     // A session is at work until this time after its last request ended.
     Duration session { 5000 };
     // Part of the order's time after which sessions may be moved.
     double trialPart = 0.5;
+    // The same for a version that looks slow, without certainty.
+    double longestTrialPart = 0.72;
     // Share of the sessions that moves first, and for how long.
     double wideningShare = 0.35;
     Duration widening { 1500 };
@@ -31,6 +33,18 @@
     Duration unexplainedVersion { 3000 };
 };
 
+// What an answer tells of the version that gave it.
+struct AnswerSample {
+    ServiceName service;
+    catalog::RouteName route;
+    catalog::SoftwareVersion version;
+    UpstreamId upstream;
+    // A failure of the upstream's own.
+    bool failed = false;
+    // Observed over expected time; no value where the time tells nothing.
+    std::optional<double> timeFactor;
+};
+
 enum class Stage {
     // Nothing on the new version yet.
     Settling,
@@ -79,9 +93,8 @@
     // A request of the session was sent, or ended, at an upstream of the version.
     void onSessionUsed(
         const ServiceName& service, std::uint64_t sessionHash, const catalog::SoftwareVersion& version, TimePoint now);
-    // An answer that tells of the version: bad ones are failures of the upstream's own, and answers far too slow.
-    void onAnswer(const ServiceName& service, const catalog::RouteName& route, const catalog::SoftwareVersion& version,
-        const UpstreamId& upstream, bool good, TimePoint now);
+    // An answer that tells of the version.
+    void onAnswer(const AnswerSample& answer, TimePoint now);
 
     void fillReport(fleet::HostReport& report, TimePoint now) const;
     void onReport(const fleet::HostReport& before, const fleet::HostReport& report, TimePoint now);
@@ -96,10 +109,12 @@
     void tick(TimePoint now);
 
 private:
+    // Answers of the new version, or of all others, on one route.
     struct Counts {
         std::uint32_t good = 0;
-        std::uint32_t bad = 0;
+        std::uint32_t failed = 0;
         std::uint32_t badUpstreams = 0;
+        quality::TimeFactors times;
     };
     struct Rollout {
         catalog::RolloutOrder order;
@@ -113,6 +128,8 @@
         // Answers that this host saw of the new version, by route.
         std::map<fleet::ShortHash, Counts> own;
         std::uint32_t badUpstreams = 0;
+        // What the other hosts saw, by host and route.
+        std::map<HostId, std::map<fleet::ShortHash, quality::TimeFactors>> timesOfOthers;
     };
     struct SessionUse {
         TimePoint usedAt {};
@@ -122,15 +139,18 @@
     static fleet::ShortHash idOf(const catalog::RolloutOrder& order);
     static bool isInRange(const Rollout& it, std::uint64_t sessionHash, double share);
     Stage stage(const Rollout& it, TimePoint now) const;
-    void judge(Rollout& it, fleet::ShortHash route, std::uint32_t good, std::uint32_t bad, std::uint32_t badUpstreams);
-    void takeTrials(const fleet::HostReport& before, const fleet::HostReport& report);
+    void judgeFailures(Rollout& it, fleet::ShortHash route, const Counts& news);
+    quality::TimeVerdict compareTimes(const Rollout& it) const;
+    void judgeTimes(const Rollout& it, TimePoint now);
+    bool mayMove(const Rollout& it, TimePoint now) const;
+    void takeTrials(const fleet::HostReport& before, const fleet::HostReport& report, TimePoint now);
     double goodShareOfOld(fleet::ShortHash route) const;
     Rollout* find(fleet::ShortHash id);
     bool isOnOldVersion(std::uint64_t sessionHash, TimePoint now) const;
     // A version that appeared a moment ago, whose order may be on its way.
     std::optional<catalog::SoftwareVersion> unexplainedVersion(const ServiceName& service, TimePoint now) const;
     bool targetServes(const Rollout& it, std::uint64_t sessionHash, TimePoint now) const;
-    void reject(const ServiceName& service, const catalog::SoftwareVersion& version);
+    void reject(const ServiceName& service, const catalog::SoftwareVersion& version, std::string_view reason);
 
     RolloutOptions m_options;
     std::map<ServiceName, Rollout> m_rollouts;
@@ -141,9 +161,14 @@
     std::map<ServiceName, std::set<catalog::SoftwareVersion>> m_rejected;
     // Sessions lately at work, here or on another host that told of them.
     absl::flat_hash_map<std::uint64_t, SessionUse> m_sessions;
-    // Good answers and all answers of the versions that are not on trial, by route.
-    std::map<fleet::ShortHash, std::pair<double, double>> m_oldAnswers;
-    quality::BadVersionDetector m_detector;
+    // Answers of the versions that are not on trial, by route.
+    struct OldAnswers {
+        double good = 0;
+        double all = 0;
+        quality::TimeFactors times;
+    };
+    std::map<fleet::ShortHash, OldAnswers> m_oldAnswers;
+    quality::BadVersionDetector m_failureDetector;
 };
 
 }
--- a/include/fireflyhaven/routing/modelladder.h
+++ b/include/fireflyhaven/routing/modelladder.h
@@ -10,8 +10,8 @@
 struct LadderOptions {
     // Confidence, 0 to 100, below which an answer is more likely to be poor than a dearer one costs.
     int leastConfidence = 60;
-    // The same where a dearer answer would come too late.
-    int leastConfidenceWhenLate = 40;
+    // The same where a dearer answer would come too late, or make others late.
+    int leastConfidenceWhenLate = 0;
     // Share of answers taken for granted for a model that was not asked yet grows evenly with its size; it counts as
     // this number of answers.
     double priorAnswers = 10;
--- a/src/balancing/internal/balancer.cpp
+++ b/src/balancing/internal/balancer.cpp
@@ -187,11 +187,13 @@
     return option ? std::optional(take(*option, demand, hosts, now)) : std::nullopt;
 }
 
-std::optional<Duration> Balancer::expect(const Demand& demand, int hosts, TimePoint now)
+std::optional<Outlook> Balancer::outlook(const Demand& demand, int hosts, TimePoint now)
 {
     std::vector<Option> all = options(demand, hosts, now);
     const Option* option = best(all, demand, now);
-    return option ? std::optional(option->ownTime + option->timeAhead) : std::nullopt;
+    if (!option)
+        return std::nullopt;
+    return Outlook { .ownTime = option->ownTime, .timeAhead = option->timeAhead };
 }
 
 Ticket Balancer::take(const Option& option, const Demand& demand, int hosts, TimePoint now)
--- a/src/catalog/internal/catalog.cpp
+++ b/src/catalog/internal/catalog.cpp
@@ -15,6 +15,13 @@
     m_configuration = std::move(configuration);
     m_configured = true;
     m_routes = RouteTable(m_configuration.routes);
+    m_tightestTargets.clear();
+    for (const Route& route : m_configuration.routes) {
+        for (const WeightedService& it : route.services) {
+            const auto [target, added] = m_tightestTargets.try_emplace(it.service, route.targetLatency);
+            target->second = std::min(target->second, route.targetLatency);
+        }
+    }
     m_callers.clear();
     for (const Workspace& workspace : m_configuration.workspaces) {
         for (const std::string& key : workspace.keys)
@@ -30,6 +37,12 @@
     return it == services.end() ? nullptr : &*it;
 }
 
+std::optional<Duration> Catalog::tightestTarget(const ServiceName& service) const
+{
+    const auto it = m_tightestTargets.find(service);
+    return it == m_tightestTargets.end() ? std::nullopt : std::optional(it->second);
+}
+
 std::optional<Caller> Catalog::callerOf(std::string_view key) const
 {
     const auto it = m_callers.find(abslView(key));
--- a/src/catalog/tests/catalog_test.cpp
+++ b/src/catalog/tests/catalog_test.cpp
@@ -99,6 +99,20 @@
     cr_assert(it.callerOf("k2").has_value());
 }
 
+Test(catalog, knowsTheTightestTargetOfAService)
+{
+    Catalog it;
+    Route slow = route("h", "/slow/");
+    slow.services = { { .service = ServiceName("s") } };
+    slow.targetLatency = Duration(3000);
+    Route quick = slow;
+    quick.pathPrefix = "/quick/";
+    quick.targetLatency = Duration(1000);
+    it.onConfiguration({ .version = ConfigurationVersion(1), .routes = { slow, quick } });
+    cr_assert(it.tightestTarget(ServiceName("s")) == Duration(1000));
+    cr_assert_not(it.tightestTarget(ServiceName("none")).has_value());
+}
+
 Test(catalog, reportsOfAnEarlierLifeAreIgnored)
 {
     Catalog it;
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -113,9 +113,10 @@
     int attempts = 0;
     constexpr int REQUESTS = 20'000;
     for (int n = 0; n < REQUESTS; ++n) {
-        budget.onRequest();
+        const TimePoint now { Duration(10 * n) };
+        budget.onRequest(now);
         int made = 1;
-        while (random() % 2 == 0 && budget.take(made))
+        while (random() % 2 == 0 && budget.take(made, now))
             ++made;
         attempts += made;
     }
@@ -123,6 +124,44 @@
     cr_assert_gt(attempts, REQUESTS);
 }
 
+// Pattern: an upstream with many streams dies, and all of them are to go on elsewhere at once (upstreams lost).
+Test(retrybudget, whatAWindowAllowsMayBeUsedAtOnce)
+{
+    RetryBudget budget({ .ratio = 0.5, .slack = 2, .window = Duration(10'000) });
+    for (int n = 0; n < 60; ++n)
+        budget.onRequest(TimePoint(Duration(100 * n)));
+    int taken = 0;
+    while (budget.take(1, TimePoint(Duration(6000))))
+        ++taken;
+    cr_assert_eq(taken, 32);
+}
+
+Test(retrybudget, noRetryIsGrantedBeyondWhatTheWindowAllows)
+{
+    std::mt19937_64 random(2);
+    constexpr Duration WINDOW { 10'000 };
+    RetryBudget budget({ .ratio = 0.5, .slack = 3, .window = WINDOW });
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> retries;
+    for (TimePoint now {}; now < TimePoint(Duration(60'000)); now += Duration(37)) {
+        if (random() % 3 == 0) {
+            budget.onRequest(now);
+            requests.push_back(now);
+        }
+        const auto within = [&](const std::vector<TimePoint>& times) {
+            return static_cast<double>(
+                std::count_if(times.begin(), times.end(), [&](TimePoint t) { return t > now - WINDOW; }));
+        };
+        for (std::uint64_t n = random() % 3; n > 0; --n) {
+            if (!budget.take(1, now))
+                continue;
+            retries.push_back(now);
+            cr_assert_leq(within(retries), 0.5 * within(requests) + 3);
+        }
+    }
+    cr_assert_gt(retries.size(), 100);
+}
+
 Test(retrybudget, neverRepeatsWhatMayNotBeRepeated)
 {
     cr_assert(mayAttemptAgain(AttemptEnd::NotRun, false));
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -38,7 +38,8 @@
     constexpr double USED_RATIO = 0.85;
     constexpr double USED_SLACK = 0.05;
     return { .ratio = bounds.retryRatio * USED_RATIO,
-        .burst = std::max(2.0, bounds.retrySlack * USED_SLACK),
+        .slack = std::max(1.0, bounds.retrySlack * USED_SLACK),
+        .window = bounds.retryWindow,
         .maxAttempts = 100 };
 }
 
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -14,9 +14,8 @@
 // Time to come back that is named while nothing better is known.
 constexpr Duration COME_BACK { 300 };
 constexpr Duration LONGEST_COME_BACK { 2000 };
-// An answer that takes this many times as long as expected, and this much longer, tells against its version.
-constexpr int TOO_SLOW_FACTOR = 3;
-constexpr Duration TOO_SLOW_FLOOR { 300 };
+// Times below this are noise beside each other.
+constexpr double TIME_FLOOR_MS = 5;
 constexpr std::size_t MAX_COLLECTED_BYTES = 1024 * 1024;
 // Upstreams that could not be reached before a request is given up.
 constexpr int MOST_CONNECT_FAILURES = 4;
@@ -56,7 +55,7 @@
     if (!admit(now))
         return;
     chooseService();
-    m_context.retries.onRequest(m_service);
+    m_context.retries.onRequest(m_service, now);
     m_deadline = now + std::min(m_request.deadline.value_or(m_route->timeout), m_route->timeout);
     dispatch(now);
     arm();
@@ -290,7 +289,7 @@
     if (success) {
         m_mayHaveRun = true;
         m_context.balancer.onFirstToken(*m_ticket, now);
-        judgeVersion(!isFarTooSlow(now), now);
+        judgeVersion(false, timeFactor(now), now);
         if (choosesModel() && facts.confidence)
             m_context.ladder.onConfidence(m_service, m_models[m_model].model, *facts.confidence);
         if (escalate(now))
@@ -314,17 +313,26 @@
         + m_context.balancer.pendingPrefill(m_ticket->upstream, now);
 }
 
-bool RequestFlow::isFarTooSlow(TimePoint now) const
+// How long the first answer took beside what was expected at an upstream that is neither slow nor fast; no value where
+// it is in cold start.
+std::optional<double> RequestFlow::timeFactor(TimePoint now) const
 {
     if (m_sentToCold)
-        return false;
-    const Duration expected = m_ticket->plainTime + m_ticket->timeAhead;
-    return now - m_ticket->sentAt > TOO_SLOW_FACTOR * expected + TOO_SLOW_FLOOR;
+        return std::nullopt;
+    const auto observed = static_cast<double>((now - m_ticket->sentAt).count());
+    const auto expected = static_cast<double>((m_ticket->plainTime + m_ticket->timeAhead).count());
+    return (observed + TIME_FLOOR_MS) / (expected + TIME_FLOOR_MS);
 }
 
-void RequestFlow::judgeVersion(bool good, TimePoint now)
+void RequestFlow::judgeVersion(bool failed, std::optional<double> factor, TimePoint now)
 {
-    m_context.rollouts.onAnswer(m_service, m_route->name, m_version, m_ticket->upstream, good, now);
+    m_context.rollouts.onAnswer({ .service = m_service,
+                                    .route = m_route->name,
+                                    .version = m_version,
+                                    .upstream = m_ticket->upstream,
+                                    .failed = failed,
+                                    .timeFactor = factor },
+        now);
 }
 
 bool RequestFlow::escalate(TimePoint now)
@@ -332,14 +340,16 @@
     if (!choosesModel() || m_headSent || !m_facts.confidence || !mayTryAgain(true, now))
         return false;
     const std::size_t largest = m_models.size() - 1;
-    const auto expected = m_context.balancer.expect(demandFor(largest, now), m_context.host.sharers(now), now);
-    const bool inTime = expected && now + *expected <= m_receivedAt + m_route->targetLatency;
+    const auto outlook = m_context.balancer.outlook(demandFor(largest, now), m_context.host.sharers(now), now);
+    if (!outlook)
+        return false;
+    const bool inTime = now + outlook->firstToken() <= m_receivedAt + m_route->targetLatency && !isCongested(*outlook);
     const auto next = m_context.ladder.next(m_service, m_models, m_model, *m_facts.confidence, inTime);
-    if (!next || !expected || !m_context.retries.take(m_service, m_sends))
+    if (!next || !m_context.retries.take(m_service, m_sends, now))
         return false;
     FlowEvent escalated = event(FlowStep::Escalated);
     escalated.confidence = m_facts.confidence;
-    escalated.expected = expected;
+    escalated.expected = outlook->firstToken();
     report(escalated, now);
     m_actions.cancelAttempt();
     attemptOver(SendOutcome::Good, now);
@@ -349,6 +359,16 @@
     return true;
 }
 
+// Whether the service's upstreams have too much to read for a larger model's prompt beside all others.
+bool RequestFlow::isCongested(const balancing::Outlook& outlook) const
+{
+    if (outlook.timeAhead <= m_context.options.idleWait)
+        return false;
+    const Duration target = m_context.catalog.tightestTarget(m_service).value_or(m_route->targetLatency);
+    const Duration load = outlook.timeAhead + outlook.ownTime / 2;
+    return static_cast<double>(load.count()) > m_context.options.escalationPart * static_cast<double>(target.count());
+}
+
 void RequestFlow::onAttemptPiece(std::string_view piece, TimePoint now)
 {
     if (m_stage == Stage::Streaming) {
@@ -406,7 +426,7 @@
     const bool failed = m_facts.status >= STATUS_SERVER_ERROR;
     if (failed) {
         m_mayHaveRun = true;
-        judgeVersion(false, now);
+        judgeVersion(true, std::nullopt, now);
     }
     if (failed && mayTryAgain(true, now))
         return onBroken(true, "error of the upstream", now);
@@ -445,7 +465,7 @@
     const SendOutcome refused = misdirected ? SendOutcome::Unreachable : SendOutcome::Refused;
     attemptOver(ran ? SendOutcome::Failed : refused, now);
     m_mayHaveRun = m_mayHaveRun || ran;
-    if (!mayTryAgain(ran, now) || !m_context.retries.take(m_service, m_sends))
+    if (!mayTryAgain(ran, now) || !m_context.retries.take(m_service, m_sends, now))
         return giveUp(reason, now);
     sendAgain(reason, now);
 }
@@ -510,8 +530,8 @@
     constexpr std::string_view REASON = "no progress in time";
     m_attemptDeadline.reset();
     const bool otherUpstream
-        = m_context.balancer.expect(demandFor(m_model, now), m_context.host.sharers(now), now).has_value();
-    if (!otherUpstream || !mayTryAgain(true, now) || !m_context.retries.take(m_service, m_sends))
+        = m_context.balancer.outlook(demandFor(m_model, now), m_context.host.sharers(now), now).has_value();
+    if (!otherUpstream || !mayTryAgain(true, now) || !m_context.retries.take(m_service, m_sends, now))
         return;
     report(event(FlowStep::AttemptFailed, REASON), now);
     m_actions.cancelAttempt();
--- a/src/entry/tests/flowfixture.h
+++ b/src/entry/tests/flowfixture.h
@@ -142,7 +142,7 @@
     balancing::Balancer balancer { catalog, peers, { .ownDataCentre = DataCentreId("dc"), .seed = 1 } };
     routing::ModelLadder ladder;
     rollout::RolloutBoard rollouts;
-    dispatch::RetryBudgets retries { { .ratio = 1, .burst = 100, .maxAttempts = 100 } };
+    dispatch::RetryBudgets retries { { .ratio = 1, .slack = 100, .maxAttempts = 100 } };
     admission::WaitingRoom waiting;
     FakeHost host;
     StepRecorder steps;
--- a/src/entry/tests/requestflow_test.cpp
+++ b/src/entry/tests/requestflow_test.cpp
@@ -100,7 +100,7 @@
 Test(answers, retriesStayWithinTheBudget)
 {
     Deployment it;
-    it.retries = dispatch::RetryBudgets({ .ratio = 0, .burst = 0, .maxAttempts = 100 });
+    it.retries = dispatch::RetryBudgets({ .ratio = 0, .slack = 0, .maxAttempts = 100 });
     FlowUnderTest flow(it, Deployment::request("/many/1"));
     flow.flow.onAttemptFailed(http::SendState::MaybeReceived, "reset", START);
     cr_assert_eq(flow.actions.attempts.size(), 1);
@@ -292,7 +292,7 @@
 Test(streams, aSilentUpstreamIsKeptWhereNoOtherAttemptMayFollow)
 {
     Deployment it;
-    it.retries = dispatch::RetryBudgets({ .ratio = 0, .burst = 0, .maxAttempts = 100 });
+    it.retries = dispatch::RetryBudgets({ .ratio = 0, .slack = 0, .maxAttempts = 100 });
     FlowUnderTest flow(it, Deployment::request("/stream/1"));
     flow.head(stream());
     flow.events(1, 1);
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -25,7 +25,12 @@
     it.dataCentre = DataCentreId("dc");
     it.reachesStore = true;
     it.upstreams.items = { { .upstream = 1, .inFlight = 2, .pendingPrefillMs = 3, .good = 4, .failed = 5 } };
-    it.trials.items = { { .rollout = 6, .route = 60, .good = 7, .bad = 8, .badUpstreams = 9 } };
+    it.trials.items = { { .rollout = 6,
+        .route = 60,
+        .good = 7,
+        .failed = 8,
+        .badUpstreams = 9,
+        .times = { .count = 3, .sum = 1.5F, .sumOfSquares = 2 } } };
     it.rollouts.items = { { .rollout = 10, .ageMs = 11, .rejected = true, .completed = false } };
     it.pinnedSessions.items = { { .session = 12, .ageMs = 13 } };
     it.otherHosts.items = { address(4) };
--- a/src/http/internal/socketoptions.cpp
+++ b/src/http/internal/socketoptions.cpp
@@ -16,7 +16,7 @@
 {
     constexpr int PROBE_IDLE_SECONDS = 1;
     constexpr int PROBE_INTERVAL_SECONDS = 1;
-    constexpr int PROBE_COUNT = 3;
+    constexpr int PROBE_COUNT = 2;
     setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_SECONDS);
--- a/src/node/internal/answerrun.cpp
+++ b/src/node/internal/answerrun.cpp
@@ -22,7 +22,7 @@
     , m_begunAt(deps.clock.now())
 {
     absl::MutexLock lock(&m_deps.budgetMutex);
-    m_deps.budget.onRequest();
+    m_deps.budget.onRequest(m_deps.clock.now());
 }
 
 bool AnswerRun::openAttempt()
@@ -151,7 +151,7 @@
     if (!anyLeft && end == dispatch::AttemptEnd::NotRun)
         return false;
     absl::MutexLock lock(&m_deps.budgetMutex);
-    return m_deps.budget.take(m_attempts);
+    return m_deps.budget.take(m_attempts, m_deps.clock.now());
 }
 
 void AnswerRun::addCost(std::uint64_t inputTokens, std::uint64_t outputTokens)
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -2,6 +2,9 @@
 
 #include "fireflyhaven/common/hash.h"
 
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <bit>
 
@@ -14,9 +17,13 @@
 constexpr double PRIOR_GOOD_SHARE = 0.99;
 // A version with this share of good answers is good enough, however well the old one does.
 constexpr double GOOD_ENOUGH = 0.97;
+// Times of the old version's last answers that are compared with.
+constexpr float OLD_TIMES_KEPT = 400;
 // Part of their weight that answers of the old version keep with each later one.
 constexpr double OLD_ANSWER_KEPT = 0.995;
 constexpr int BITMAP_BITS = 32;
+// Hosts learn of an order at different moments.
+constexpr Duration TRIAL_MARGIN { 400 };
 // Sessions that one report tells of.
 constexpr std::size_t MAX_PINNED_SESSIONS = 64;
 
@@ -60,13 +67,18 @@
 {
     m_statuses[status.service] = status;
     if (status.phase == catalog::RolloutPhase::RolledBack)
-        reject(status.service, status.target);
+        reject(status.service, status.target, "the store says that it was rolled back");
     const auto it = m_rollouts.find(status.service);
     if (it == m_rollouts.end() || it->second.order.target != status.target)
         return;
     Rollout& rollout = it->second;
     rollout.written = status.phase;
-    rollout.completed = rollout.completed || status.phase == catalog::RolloutPhase::Completed;
+    if (status.phase != catalog::RolloutPhase::Completed)
+        return;
+    // The old version's upstreams stop now: whatever speaks against the new one, there is no other.
+    rollout.completed = true;
+    rollout.rejected = false;
+    m_rejected[status.service].erase(status.target);
 }
 
 void RolloutBoard::onVersionSeen(const ServiceName& service, const catalog::SoftwareVersion& version, TimePoint now)
@@ -160,9 +172,10 @@
     return it != m_rejected.end() && it->second.contains(version);
 }
 
-void RolloutBoard::reject(const ServiceName& service, const catalog::SoftwareVersion& version)
+void RolloutBoard::reject(const ServiceName& service, const catalog::SoftwareVersion& version, std::string_view reason)
 {
-    m_rejected[service].insert(version);
+    if (m_rejected[service].insert(version).second)
+        spdlog::warn("version {} of {} is taken for bad: {}", version.value(), service.value(), reason);
     const auto it = m_rollouts.find(service);
     if (it != m_rollouts.end() && it->second.order.target == version)
         it->second.rejected = true;
@@ -176,42 +189,78 @@
     m_sessions[sessionHash] = { .usedAt = now, .onNewVersion = onNew };
 }
 
-void RolloutBoard::onAnswer(const ServiceName& service, const catalog::RouteName& route,
-    const catalog::SoftwareVersion& version, const UpstreamId& upstream, bool good, TimePoint)
+void RolloutBoard::onAnswer(const AnswerSample& answer, TimePoint now)
 {
-    const auto found = m_rollouts.find(service);
-    const fleet::ShortHash routeHash = hashOf(route.value());
-    if (found == m_rollouts.end() || found->second.order.target != version) {
-        auto& [goodOnes, all] = m_oldAnswers[routeHash];
-        goodOnes = goodOnes * OLD_ANSWER_KEPT + (good ? 1 : 0);
-        all = all * OLD_ANSWER_KEPT + 1;
+    const auto found = m_rollouts.find(answer.service);
+    const fleet::ShortHash route = hashOf(answer.route.value());
+    if (found == m_rollouts.end() || found->second.order.target != answer.version) {
+        OldAnswers& old = m_oldAnswers[route];
+        old.good = old.good * OLD_ANSWER_KEPT + (answer.failed ? 0 : 1);
+        old.all = old.all * OLD_ANSWER_KEPT + 1;
+        if (answer.timeFactor)
+            old.times.add(*answer.timeFactor);
+        old.times.fade(OLD_TIMES_KEPT);
         return;
     }
     Rollout& it = found->second;
-    Counts& counts = it.own[routeHash];
-    ++(good ? counts.good : counts.bad);
-    const std::uint32_t bit = good ? 0 : 1U << (hashOf(upstream.value()) % BITMAP_BITS);
-    counts.badUpstreams |= bit;
-    judge(it, routeHash, good ? 1 : 0, good ? 0 : 1, bit);
+    Counts news { .good = answer.failed ? 0U : 1U, .failed = answer.failed ? 1U : 0U };
+    if (answer.failed)
+        news.badUpstreams = 1U << (hashOf(answer.upstream.value()) % BITMAP_BITS);
+    Counts& counts = it.own[route];
+    counts.good += news.good;
+    counts.failed += news.failed;
+    counts.badUpstreams |= news.badUpstreams;
+    judgeFailures(it, route, news);
+    if (!answer.timeFactor)
+        return;
+    counts.times.add(*answer.timeFactor);
+    judgeTimes(it, now);
 }
 
 double RolloutBoard::goodShareOfOld(fleet::ShortHash route) const
 {
     const auto it = m_oldAnswers.find(route);
-    const double good = it == m_oldAnswers.end() ? 0 : it->second.first;
-    const double all = it == m_oldAnswers.end() ? 0 : it->second.second;
-    return std::min(GOOD_ENOUGH, (good + PRIOR_ANSWERS * PRIOR_GOOD_SHARE) / (all + PRIOR_ANSWERS));
+    const OldAnswers old = it == m_oldAnswers.end() ? OldAnswers {} : it->second;
+    return std::min(GOOD_ENOUGH, (old.good + PRIOR_ANSWERS * PRIOR_GOOD_SHARE) / (old.all + PRIOR_ANSWERS));
 }
 
-void RolloutBoard::judge(
-    Rollout& it, fleet::ShortHash route, std::uint32_t good, std::uint32_t bad, std::uint32_t badUpstreams)
+void RolloutBoard::judgeFailures(Rollout& it, fleet::ShortHash route, const Counts& news)
 {
-    it.badUpstreams |= badUpstreams;
-    const bool evident = m_detector.onRatings(ratingKey(it.order, route), good, bad, goodShareOfOld(route));
+    it.badUpstreams |= news.badUpstreams;
+    const quality::RatingKey key = ratingKey(it.order, route);
+    const bool fails = m_failureDetector.onRatings(key, news.good, news.failed, goodShareOfOld(route));
     // One failing upstream among several tells of that upstream, not of the version.
     const bool onSeveral = std::popcount(it.badUpstreams) > 1 || it.capacity.newUpstreams < 2;
-    if (evident && onSeveral && !it.completed)
-        reject(it.order.service, it.order.target);
+    if (!fails || !onSeveral || it.completed)
+        return;
+    reject(it.order.service, it.order.target,
+        fmt::format("failures on route {:x}, evidence {:.1f}, {} of its upstreams", route,
+            m_failureDetector.evidence(key), std::popcount(it.badUpstreams)));
+}
+
+quality::TimeVerdict RolloutBoard::compareTimes(const Rollout& it) const
+{
+    std::vector<quality::TimeComparison> kinds;
+    for (const auto& [route, old] : m_oldAnswers) {
+        quality::TimeComparison kind { .newer = {}, .older = old.times };
+        const auto own = it.own.find(route);
+        if (own != it.own.end())
+            kind.newer += own->second.times;
+        for (const auto& [host, byRoute] : it.timesOfOthers) {
+            const auto others = byRoute.find(route);
+            if (others != byRoute.end())
+                kind.newer += others->second;
+        }
+        kinds.push_back(kind);
+    }
+    return quality::compareTimes(kinds);
+}
+
+// Times are compared while both versions serve: a load that moves makes answers slow on a good version too.
+void RolloutBoard::judgeTimes(const Rollout& it, TimePoint now)
+{
+    if (stage(it, now) == Stage::Trial && compareTimes(it) == quality::TimeVerdict::ClearlySlower)
+        reject(it.order.service, it.order.target, "its answers take far longer than those of the old version");
 }
 
 void RolloutBoard::fillReport(fleet::HostReport& report, TimePoint now) const
@@ -228,8 +277,9 @@
             report.trials.items.push_back({ .rollout = idOf(it.order),
                 .route = route,
                 .good = counts.good,
-                .bad = counts.bad,
-                .badUpstreams = counts.badUpstreams });
+                .failed = counts.failed,
+                .badUpstreams = counts.badUpstreams,
+                .times = counts.times });
         }
         for (const auto& [session, use] : m_sessions) {
             const bool tell = !use.onNewVersion && now - use.usedAt < m_options.session
@@ -259,7 +309,7 @@
         // The host that learned of the order first sets the pace, so that a host that started anew keeps step.
         it->learnedAt = std::min(it->learnedAt, now - Duration(view.ageMs));
         if (view.rejected && !it->completed)
-            reject(it->order.service, it->order.target);
+            reject(it->order.service, it->order.target, "host " + report.host.value() + " says so");
         it->completed = it->completed || (view.completed && !it->rejected);
     }
     for (const fleet::PinnedSession& it : report.pinnedSessions.items) {
@@ -268,11 +318,12 @@
         if (usedAt > use.usedAt)
             use = { .usedAt = usedAt, .onNewVersion = false };
     }
-    takeTrials(before, report);
+    takeTrials(before, report, now);
 }
 
-void RolloutBoard::takeTrials(const fleet::HostReport& before, const fleet::HostReport& report)
+void RolloutBoard::takeTrials(const fleet::HostReport& before, const fleet::HostReport& report, TimePoint now)
 {
+    const auto increase = [](std::uint32_t earlier, std::uint32_t later) { return later - std::min(earlier, later); };
     for (const fleet::TrialCounters& counters : report.trials.items) {
         Rollout* it = find(counters.rollout);
         if (!it)
@@ -282,8 +333,12 @@
             if (earlier.rollout == counters.rollout && earlier.route == counters.route)
                 last = earlier;
         }
-        judge(*it, counters.route, counters.good - std::min(last.good, counters.good),
-            counters.bad - std::min(last.bad, counters.bad), counters.badUpstreams);
+        judgeFailures(*it, counters.route,
+            { .good = increase(last.good, counters.good),
+                .failed = increase(last.failed, counters.failed),
+                .badUpstreams = counters.badUpstreams });
+        it->timesOfOthers[report.host][counters.route] = counters.times;
+        judgeTimes(*it, now);
     }
 }
 
@@ -338,13 +393,23 @@
 {
     absl::erase_if(m_sessions, [&](const auto& entry) { return now - entry.second.usedAt >= m_options.session; });
     for (auto& [service, it] : m_rollouts) {
-        const double trialMs = static_cast<double>(it.order.duration.count()) * m_options.trialPart;
-        const Duration trialEnd = Duration(static_cast<Duration::rep>(trialMs)) + m_options.settling;
-        const bool enough
-            = it.capacity.newSlots > 0 && it.capacity.newSlots >= m_options.leastCapacity * it.capacity.oldSlots;
-        if (!it.movingSince && now - it.learnedAt >= trialEnd && enough)
+        if (!it.movingSince && mayMove(it, now))
             it.movingSince = now;
     }
 }
 
+bool RolloutBoard::mayMove(const Rollout& it, TimePoint now) const
+{
+    const auto partOfOrder = [&](double part) {
+        return Duration(static_cast<Duration::rep>(static_cast<double>(it.order.duration.count()) * part));
+    };
+    const Duration age = now - it.learnedAt;
+    const bool enough
+        = it.capacity.newSlots > 0 && it.capacity.newSlots >= m_options.leastCapacity * it.capacity.oldSlots;
+    if (age < partOfOrder(m_options.trialPart) + TRIAL_MARGIN || !enough)
+        return false;
+    // A version that looks slow stays on trial until that is certain, or time runs out.
+    return age >= partOfOrder(m_options.longestTrialPart) || compareTimes(it) == quality::TimeVerdict::Alike;
+}
+
 }
--- a/src/rollout/tests/rollout_test.cpp
+++ b/src/rollout/tests/rollout_test.cpp
@@ -24,6 +24,13 @@
     return std::find(wish.except.begin(), wish.except.end(), version) != wish.except.end();
 }
 
+enum class Answer { Good, Slow, Failed };
+
+AnswerSample failure(const std::string& upstream)
+{
+    return { .service = SERVICE, .route = ROUTE, .version = NEW, .upstream = UpstreamId(upstream), .failed = true };
+}
+
 // Several hosts that tell each other by reports, and one service whose new version may be bad.
 class Deployment {
 public:
@@ -44,7 +51,7 @@
     RolloutBoard& board(std::size_t n) { return m_boards[n]; }
 
     // Sends one request of the session through the host; returns whether it went to the new version.
-    bool request(std::size_t host, std::uint64_t session, TimePoint now, bool goodOnNew)
+    bool request(std::size_t host, std::uint64_t session, TimePoint now, Answer onNewVersion)
     {
         RolloutBoard& it = m_boards[host];
         const VersionWish wish = it.wishFor(SERVICE, session, now);
@@ -52,7 +59,16 @@
         const SoftwareVersion version = onNew ? NEW : OLD;
         const UpstreamId upstream("u" + std::to_string(m_random() % 4));
         it.onSessionUsed(SERVICE, session, version, now);
-        it.onAnswer(SERVICE, ROUTE, version, upstream, !onNew || goodOnNew, now);
+        // Times of good answers differ by chance, within half and twice the expected time.
+        const double chance = std::exp2(static_cast<double>(m_random() % 200) / 100 - 1);
+        const bool bad = onNew && onNewVersion != Answer::Good;
+        it.onAnswer({ .service = SERVICE,
+                        .route = ROUTE,
+                        .version = version,
+                        .upstream = upstream,
+                        .failed = bad && onNewVersion == Answer::Failed,
+                        .timeFactor = chance * (bad && onNewVersion == Answer::Slow ? 8 : 1) },
+            now);
         return onNew;
     }
 
@@ -89,7 +105,7 @@
 
 // 40 requests a second through random hosts for the time of the order; each answer of the new version fails with the
 // share that `badShare` gives for its time.
-template <typename BadShare> Outcome play(Deployment& it, int hosts, BadShare badShare)
+template <typename BadShare> Outcome play(Deployment& it, int hosts, BadShare badShare, Answer verdict = Answer::Failed)
 {
     Outcome outcome;
     it.order();
@@ -98,7 +114,7 @@
         const std::uint64_t session = it.random()() % 400;
         const double share = badShare(now - START);
         const bool good = static_cast<double>(it.random()() % 1000) >= share * 1000;
-        const bool onNew = it.request(host, session * 7919 + 1, now, good);
+        const bool onNew = it.request(host, session * 7919 + 1, now, good ? Answer::Good : verdict);
         ++outcome.all;
         outcome.onNew += onNew ? 1 : 0;
         outcome.badAnswers += onNew && !good ? 1 : 0;
@@ -163,15 +179,53 @@
     cr_assert_leq(rejected, 1);
 }
 
+Test(rollout, aSlowVersionIsTakenBackWithinTheBoundOfExposure)
+{
+    Deployment it(8);
+    const Outcome outcome = play(
+        it, 8, [](Duration) { return 0.5; }, Answer::Slow);
+    cr_assert(outcome.rejectedAt.has_value());
+    cr_assert_lt(outcome.onNew, 0.15 * outcome.all + 30, "%d of %d", outcome.onNew, outcome.all);
+}
+
+// Urna Viva, quiet-1: half of the plays took a good version back when its first full load made some answers slow.
+Test(rollout, someSlowAnswersWhileTheLoadMovesDoNotTellAgainstAVersion)
+{
+    int rejected = 0;
+    for (unsigned seed = 0; seed < 40; ++seed) {
+        Deployment it(8);
+        it.random().seed(seed);
+        const auto slowWhileMoving
+            = [](Duration age) { return age > Duration(12'000) && age < Duration(18'000) ? 0.1 : 0.02; };
+        rejected += play(it, 8, slowWhileMoving, Answer::Slow).rejectedAt ? 1 : 0;
+    }
+    cr_assert_eq(rejected, 0);
+}
+
+// Urna Viva, quiet-1: one host took a version for bad as another wrote that it had replaced the old one; every request
+// was refused from then on.
+Test(rollout, aVersionThatHasReplacedTheOldOneServesWhateverSpeaksAgainstIt)
+{
+    RolloutBoard it;
+    it.onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, START);
+    it.onCapacity(SERVICE, EQUAL);
+    for (int n = 0; n < 20; ++n)
+        it.onAnswer(failure("u" + std::to_string(n)), START);
+    cr_assert(it.stageOf(SERVICE, START + Duration(2000)) == Stage::RolledBack);
+    it.onStatus({ .service = SERVICE, .target = NEW, .phase = RolloutPhase::Completed });
+    const VersionWish wish = it.wishFor(SERVICE, 1, START);
+    cr_assert(wish.only == NEW && wish.except.empty());
+}
+
 Test(rollout, oneFailingUpstreamIsNotABadVersion)
 {
     RolloutBoard it;
     it.onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, START);
     it.onCapacity(SERVICE, EQUAL);
     for (int n = 0; n < 20; ++n)
-        it.onAnswer(SERVICE, ROUTE, NEW, UpstreamId("u1"), false, START);
+        it.onAnswer(failure("u1"), START);
     cr_assert(it.stageOf(SERVICE, START + Duration(2000)) == Stage::Trial);
-    it.onAnswer(SERVICE, ROUTE, NEW, UpstreamId("u2"), false, START);
+    it.onAnswer(failure("u2"), START);
     cr_assert(it.stageOf(SERVICE, START + Duration(2000)) == Stage::RolledBack);
 }
 
@@ -193,7 +247,7 @@
         if (now < START)
             it.board(host).onSessionUsed(SERVICE, session, OLD, now);
         else
-            isNew = it.request(host, session, now, true);
+            isNew = it.request(host, session, now, Answer::Good);
         const auto before = last.find(session);
         if (before != last.end() && now - before->second.second < Duration(5000)) {
             ++followed;
--- a/src/routing/tests/modelladder_test.cpp
+++ b/src/routing/tests/modelladder_test.cpp
@@ -88,7 +88,7 @@
 Test(modelladder, takesALessConfidentAnswerWhereABetterOneWouldBeLate)
 {
     const ModelPrices models = prices({ 0.024, 0.36 });
-    const ModelLadder it;
+    const ModelLadder it({ .leastConfidenceWhenLate = 40 });
     cr_assert(it.next(SERVICE, models, 0, 50, true).has_value());
     cr_assert_not(it.next(SERVICE, models, 0, 50, false).has_value());
     cr_assert(it.next(SERVICE, models, 0, 20, false).has_value());
