--- a/apps/fireflyhavend.cpp
+++ b/apps/fireflyhavend.cpp
@@ -1,12 +1,9 @@
 #include "fireflyhaven/node/node.h"
 #include "fireflyhaven/settings/optionparser.h"
 #include "platform/settingsfile.h"
+#include "logsetup.h"
 #include "platformdaemon.h"
 
-#include <nlohmann/json.hpp>
-#include <spdlog/pattern_formatter.h>
-#include <spdlog/spdlog.h>
-
 #include <csignal>
 #include <iostream>
 
@@ -40,6 +37,7 @@
     long idleTimeoutS = 60;
     long shutdownLimitMs = 60'000;
     bool naivePolicy = false;
+    bool checkSettings = false;
 };
 
 std::vector<settings::Option> optionsFor(WrittenSettings& it)
@@ -75,6 +73,7 @@
         { "log-format", "text|json", "Form of the log lines.", setText(it.logFormat) },
         { "naive-policy", "", "Route by least load, without affinity and cascades (baseline for measurements).",
             setFlag(it.naivePolicy) },
+        { "check-settings", "", "Checks the settings, names each fault and stops.", setFlag(it.checkSettings) },
         secret("cluster-key", "Key that all hosts share.", it.clusterKey),
         secret("session-key", "Key of session handles, the same on all hosts.", it.sessionKey),
         secret("session-key-previous", "Earlier key of session handles, during a rotation.", it.previousSessionKey),
@@ -135,29 +134,6 @@
         .naivePolicy = it.naivePolicy };
 }
 
-// Writes the message as a JSON string.
-class JsonMessage final : public spdlog::custom_flag_formatter {
-public:
-    void format(const spdlog::details::log_msg& message, const std::tm&, spdlog::memory_buf_t& out) override
-    {
-        const std::string text = nlohmann::json(std::string(message.payload.data(), message.payload.size()))
-                                     .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-        out.append(text.data(), text.data() + text.size());
-    }
-    std::unique_ptr<custom_flag_formatter> clone() const override { return std::make_unique<JsonMessage>(); }
-};
-
-void setUpLog(const WrittenSettings& it)
-{
-    spdlog::set_level(spdlog::level::from_str(it.logLevel));
-    if (it.logFormat != "json")
-        return;
-    auto formatter = std::make_unique<spdlog::pattern_formatter>();
-    formatter->add_flag<JsonMessage>('J').set_pattern(
-        "{\"time\":\"%Y-%m-%dT%H:%M:%S.%e%z\",\"level\":\"%l\",\"message\":%J}");
-    spdlog::set_formatter(std::move(formatter));
-}
-
 Result<int> run(int argc, char** argv)
 {
     WrittenSettings written;
@@ -170,7 +146,11 @@
     if (!parsed.arguments.empty())
         return failure(ErrorCode::InvalidArgument, parsed.arguments.front() + ": expected options only\n");
     BOOST_LEAF_AUTO(checked, check(written));
-    setUpLog(written);
+    if (written.checkSettings) {
+        std::cout << "settings are valid\n";
+        return 0;
+    }
+    setUpLog({ .level = written.logLevel, .json = written.logFormat == "json" });
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
@@ -189,7 +169,8 @@
 int main(int argc, char** argv)
 {
     const char* platformSettings = std::getenv(platform::SETTINGS_FILE_VARIABLE);
-    return handleFailure([&] { return platformSettings ? runOnPlatform(platformSettings) : run(argc, argv); },
+    return handleFailure(
+        [&] { return platformSettings ? runOnPlatform(platformSettings, argc, argv) : run(argc, argv); },
         [](const Failure& it) {
             std::cerr << "fireflyhavend: " << it.message << (it.message.ends_with('\n') ? "" : "\n");
             return it.code == ErrorCode::InvalidArgument ? 2 : 1;
--- a/include/fireflyhaven/entry/flowcontext.h
+++ b/include/fireflyhaven/entry/flowcontext.h
@@ -54,6 +54,8 @@
     IFlowObserver& observer;
     FlowOptions options;
     std::uint64_t nextTicket = 1;
+    // Waiting requests that had to give way to more urgent ones and have not been told yet.
+    std::vector<admission::TicketId> shedTickets;
 };
 
 }
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -140,6 +140,8 @@
     // Whether an upstream may have run the request.
     bool m_mayHaveRun = false;
     std::optional<balancing::Ticket> m_ticket;
+    // The one that was asked last, for the log.
+    std::optional<UpstreamId> m_lastUpstream;
     catalog::SoftwareVersion m_version;
     bool m_sentToCold = false;
     AnswerFacts m_facts;
--- a/include/fireflyhaven/entry/types/flowevent.h
+++ b/include/fireflyhaven/entry/types/flowevent.h
@@ -14,6 +14,8 @@
     // It waits until an upstream can take it.
     Queued,
     Sent,
+    // The head of a good answer came.
+    FirstToken,
     // A larger model is asked, since the answer's confidence was too low.
     Escalated,
     // Another upstream is asked after a failure.
@@ -47,6 +49,8 @@
     // Figures that decided it, where there are any.
     std::optional<int> confidence;
     std::optional<Duration> expected;
+    // Time from the send to the head of the answer.
+    std::optional<Duration> observed;
     std::optional<Duration> retryAfter;
     int sends = 0;
     catalog::ConfigurationVersion configuration;
--- a/include/fireflyhaven/entry/types/settings.h
+++ b/include/fireflyhaven/entry/types/settings.h
@@ -5,6 +5,7 @@
 #include "fireflyhaven/http/types/endpoint.h"
 
 #include <map>
+#include <optional>
 
 namespace fireflyhaven::entry {
 
@@ -67,6 +68,8 @@
     http::Endpoint readiness;
     // Callers' questions for addresses.
     http::Endpoint directory;
+    // Metrics and the state dump; no value where they are not served.
+    std::optional<http::Endpoint> metrics;
     // First of the ports that are free for traffic between hosts, and the last one.
     std::uint16_t firstPeerPort = 0;
     std::uint16_t lastPeerPort = 0;
@@ -75,6 +78,8 @@
     StoreSettings store;
     ResourceLimits limits;
     ServiceBounds bounds;
+    // Any ready upstream at random and always the largest model: the baseline for measurements.
+    bool naivePolicy = false;
 };
 
 }
--- /dev/null
+++ b/include/fireflyhaven/telemetry/jsonformatter.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <spdlog/formatter.h>
+
+#include <memory>
+
+namespace fireflyhaven::telemetry {
+
+// Formats each line as one JSON object: time (UTC), level, then the fields of `logEvent`. A plain message becomes the
+// event "message" with the field "text".
+std::unique_ptr<spdlog::formatter> makeJsonFormatter();
+
+}
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -1,7 +1,6 @@
+#include "fireflyhaven/telemetry/logevent.h"
 #include "catalogsync.h"
 
-#include <spdlog/spdlog.h>
-
 namespace fireflyhaven::entry {
 
 namespace {
@@ -80,7 +79,8 @@
 void CatalogSync::tick(TimePoint now)
 {
     for (const UpstreamId& id : m_parts.catalog.expireLapsed(now)) {
-        spdlog::info("upstream {} did not register again", id.value());
+        telemetry::logEvent(spdlog::level::info, "upstream_gone",
+            { { "upstream", id.value() }, { "reason", "did not register again after the outage" } });
         m_parts.listener.onUpstreamGone(id);
     }
 }
@@ -165,7 +165,7 @@
         return;
     m_choice.onStoreRead(true, m_parts.clock.now());
     if (std::exchange(m_storeLost, false))
-        spdlog::info("store regained");
+        telemetry::logEvent(spdlog::level::info, "store_regained");
 }
 
 void CatalogSync::onFailed(Feed& feed, bool fromStore, store::StoreError error, const std::string& reason)
@@ -173,18 +173,20 @@
     const TimePoint now = m_parts.clock.now();
     feed.state.onFailed(error, now);
     if (error == store::StoreError::HistoryLost) {
-        spdlog::info("history of topic {} is gone, starting over", topicText(feed.topic));
+        telemetry::logEvent(spdlog::level::info, "store_history_lost", { { "topic", topicText(feed.topic) } });
         return;
     }
     if (!fromStore) {
-        spdlog::info("cannot read topic {} from another host: {}", topicText(feed.topic), reason);
+        telemetry::logEvent(
+            spdlog::level::info, "relay_lost", { { "topic", topicText(feed.topic) }, { "reason", reason } });
         m_choice.onPeerFailed(now);
         feed.state.hurry(now);
         return;
     }
     m_choice.onStoreRead(false, now);
     if (!std::exchange(m_storeLost, true))
-        spdlog::warn("store lost: topic {}: {}", topicText(feed.topic), reason);
+        telemetry::logEvent(
+            spdlog::level::warn, "store_lost", { { "topic", topicText(feed.topic) }, { "reason", reason } });
 }
 
 void CatalogSync::take(Feed& feed, store::FeedUpdate update)
@@ -231,8 +233,8 @@
                    [&](catalog::Configuration&& it) {
                        if (catalog.onConfiguration(std::move(it)) != catalog::ConfigurationChange::Applied)
                            return;
-                       spdlog::info(
-                           "configuration {} in force, {} routes", catalog.version().value(), catalog.routes().size());
+                       telemetry::logEvent(spdlog::level::info, "configuration_applied",
+                           { { "configuration", catalog.version().value() }, { "routes", catalog.routes().size() } });
                        m_parts.listener.onConfiguration();
                    },
                    [&](catalog::RolloutOrder&& it) {
@@ -244,15 +246,17 @@
                        m_parts.listener.onRolloutWithdrawn(it.service);
                    },
                    [&](catalog::EvacuationChange&& it) {
-                       spdlog::info("data centre {} {}", it.dataCentre.value(),
-                           it.evacuated ? "is evacuated" : "is back in service");
+                       telemetry::logEvent(spdlog::level::info,
+                           it.evacuated ? "data_centre_evacuated" : "data_centre_returned",
+                           { { "data_centre", it.dataCentre.value() } });
                        if (it.evacuated)
                            catalog.onEvacuation(it.dataCentre);
                        else
                            catalog.onEvacuationEnded(it.dataCentre);
                    },
                    [&](catalog::UnreadableRecord&& it) {
-                       spdlog::warn("record {} of the operator is not understood: {}", it.key, it.reason);
+                       telemetry::logEvent(spdlog::level::warn, "operator_record_unreadable",
+                           { { "record", it.key }, { "reason", it.reason } });
                    },
                },
         m_parts.codec.decodeOperatorRecord(record));
--- a/src/entry/internal/conductor.cpp
+++ b/src/entry/internal/conductor.cpp
@@ -1,9 +1,8 @@
 #include "conductor.h"
 
+#include "fireflyhaven/telemetry/logevent.h"
 #include "fireflyhaven/common/hash.h"
 
-#include <spdlog/spdlog.h>
-
 namespace fireflyhaven::entry {
 
 namespace {
@@ -103,19 +102,21 @@
         m_fence = store::Fence { .producer = PRODUCER, .epoch = epoch, .sequence = 0 };
     }
     m_writing = true;
-    spdlog::info(
-        "roll-out of {} to {}: writing {}", status.service.value(), status.target.value(), phaseText(status.phase));
     m_parts.store.put(store::Topic::Status, m_parts.codec.encodeRolloutStatus(status), m_fence,
         [this, alive = m_alive, status](const auto& outcome) {
             if (!*alive)
                 return;
             m_writing = false;
             if (outcome.value) {
+                telemetry::logEvent(spdlog::level::info, "rollout_status_written",
+                    { { "service", status.service.value() }, { "version", status.target.value() },
+                        { "status", phaseText(status.phase) } });
                 if (m_fence)
                     ++m_fence->sequence;
                 return m_parts.board.onStatus(status);
             }
-            spdlog::warn("status of the roll-out of {} not written: {}", status.service.value(), outcome.reason);
+            telemetry::logEvent(spdlog::level::warn, "rollout_status_refused",
+                { { "service", status.service.value() }, { "reason", outcome.reason } });
             m_retryAt = m_parts.clock.now() + RETRY;
             // Whether the call was done is not known: a new epoch makes its sequence number irrelevant.
             m_fence.reset();
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -1,9 +1,8 @@
 #include "decisionlog.h"
 
-#include <fmt/format.h>
-#include <spdlog/spdlog.h>
+#include "fireflyhaven/telemetry/logevent.h"
 
-#include <iterator>
+#include <cstdlib>
 
 namespace fireflyhaven::entry {
 
@@ -17,18 +16,52 @@
         || step == FlowStep::Escalated;
 }
 
+bool isFault(FlowStep step)
+{
+    return step == FlowStep::Refused || step == FlowStep::Failed || step == FlowStep::Aborted
+        || step == FlowStep::AttemptFailed;
 }
 
-DecisionLog::DecisionLog(const IClock& clock, DecisionLogOptions options)
-    : m_clock(clock)
-    , m_options(options)
+// The request has got its answer, or will get none.
+bool isEnd(FlowStep step)
 {
+    return step == FlowStep::Answered || step == FlowStep::Rejected || step == FlowStep::Refused
+        || step == FlowStep::Failed || step == FlowStep::Aborted || step == FlowStep::CallerLeft;
 }
 
-std::uint64_t DecisionLog::count(FlowStep step) const
+telemetry::LogFields fieldsOf(const FlowEvent& event)
+{
+    telemetry::LogFields fields { { "request", event.request.attempt.value() } };
+    if (event.route)
+        fields["route"] = event.route->name.value();
+    if (event.upstream)
+        fields["upstream"] = event.upstream->value();
+    if (!event.model.empty())
+        fields["model"] = event.model.value();
+    if (event.status != 0)
+        fields["status"] = event.status;
+    if (event.confidence)
+        fields["confidence"] = *event.confidence;
+    if (event.expected)
+        fields["expected_ms"] = event.expected->count();
+    if (event.retryAfter)
+        fields["retry_after_ms"] = event.retryAfter->count();
+    fields["elapsed_ms"] = event.elapsed.count();
+    fields["sends"] = event.sends;
+    fields["configuration"] = event.configuration.value();
+    fields["configuration_age_ms"] = event.configurationAge.count();
+    if (!event.reason.empty())
+        fields["reason"] = event.reason;
+    return fields;
+}
+
+}
+
+DecisionLog::DecisionLog(const IClock& clock, telemetry::Metrics& metrics, DecisionLogOptions options)
+    : m_clock(clock)
+    , m_metrics(metrics)
+    , m_options(options)
 {
-    const auto it = m_counts.find(step);
-    return it == m_counts.end() ? 0 : it->second;
 }
 
 bool DecisionLog::mayWriteRoutine(TimePoint now)
@@ -40,33 +73,31 @@
     return m_linesThisSecond++ < m_options.routineLinesPerSecond;
 }
 
+void DecisionLog::measure(const FlowEvent& event)
+{
+    const std::string route = event.route ? event.route->name.value() : "none";
+    m_metrics.count("request_steps", 1, { { "step", flowStepName(event.step) } });
+    if (event.step == FlowStep::FirstToken) {
+        m_metrics.observe("first_token", event.elapsed, { { "route", route } });
+        m_metrics.observe("first_token_prediction_error", std::chrono::abs(*event.observed - *event.expected));
+    }
+    if (isEnd(event.step)) {
+        m_metrics.count("requests", 1, { { "route", route }, { "outcome", flowStepName(event.step) } });
+        m_metrics.observe("request_duration", event.elapsed, { { "route", route } });
+    }
+}
+
 void DecisionLog::onFlowEvent(const FlowEvent& event)
 {
-    ++m_counts[event.step];
-    if (isRoutine(event.step) && !mayWriteRoutine(m_clock.now()))
+    measure(event);
+    if (event.step == FlowStep::FirstToken)
         return;
-    fmt::memory_buffer line;
-    const auto out = std::back_inserter(line);
-    fmt::format_to(out, "request {} {}", event.request.attempt.value(), flowStepName(event.step));
-    if (event.route)
-        fmt::format_to(out, " route={}", event.route->name.value());
-    if (event.upstream)
-        fmt::format_to(out, " upstream={}", event.upstream->value());
-    if (!event.model.empty())
-        fmt::format_to(out, " model={}", event.model.value());
-    if (event.status != 0)
-        fmt::format_to(out, " status={}", event.status);
-    if (event.confidence)
-        fmt::format_to(out, " confidence={}", *event.confidence);
-    if (event.expected)
-        fmt::format_to(out, " expected_ms={}", event.expected->count());
-    if (event.retryAfter)
-        fmt::format_to(out, " retry_after_ms={}", event.retryAfter->count());
-    fmt::format_to(out, " elapsed_ms={} sends={} configuration={} configuration_age_ms={}", event.elapsed.count(),
-        event.sends, event.configuration.value(), event.configurationAge.count());
-    if (!event.reason.empty())
-        fmt::format_to(out, " reason=\"{}\"", event.reason);
-    spdlog::info("{}", std::string_view(line.data(), line.size()));
+    if (isRoutine(event.step) && !mayWriteRoutine(m_clock.now())) {
+        m_metrics.count("log_lines_sampled_out");
+        return;
+    }
+    const auto level = isFault(event.step) ? spdlog::level::warn : spdlog::level::info;
+    telemetry::logEvent(level, std::string("request_") + flowStepName(event.step), fieldsOf(event));
 }
 
 }
--- a/src/entry/internal/decisionlog.h
+++ b/src/entry/internal/decisionlog.h
@@ -2,8 +2,7 @@
 
 #include "fireflyhaven/common/clock.h"
 #include "fireflyhaven/entry/types/flowevent.h"
-
-#include <map>
+#include "fireflyhaven/telemetry/metrics.h"
 
 namespace fireflyhaven::entry {
 
@@ -12,21 +11,21 @@
     int routineLinesPerSecond = 40;
 };
 
-// Writes one structured line for each step of a request. Refusals and failures are always written; of what goes well
-// only so many lines a second. Counts every step.
+// Writes one structured line for each step of a request, and counts the steps. Refusals and failures are always
+// written; of what goes well only so many lines a second.
 class DecisionLog final : public IFlowObserver {
 public:
-    explicit DecisionLog(const IClock& clock, DecisionLogOptions options = {});
+    DecisionLog(const IClock& clock, telemetry::Metrics& metrics, DecisionLogOptions options = {});
 
     void onFlowEvent(const FlowEvent& event) override;
-    std::uint64_t count(FlowStep step) const;
 
 private:
+    void measure(const FlowEvent& event);
     bool mayWriteRoutine(TimePoint now);
 
     const IClock& m_clock;
+    telemetry::Metrics& m_metrics;
     const DecisionLogOptions m_options;
-    std::map<FlowStep, std::uint64_t> m_counts;
     TimePoint m_secondBegan {};
     int m_linesThisSecond = 0;
 };
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -1,3 +1,4 @@
+#include "fireflyhaven/telemetry/logevent.h"
 #include "fireflyhaven/entry/entryhost.h"
 
 #include "catalogsync.h"
@@ -8,6 +9,7 @@
 #include "fireflyhaven/http/types/status.h"
 #include "fleetlink.h"
 #include "frontdoor.h"
+#include "statuspages.h"
 
 #include <spdlog/spdlog.h>
 
@@ -20,6 +22,9 @@
 constexpr Duration PUMP { 20 };
 constexpr Duration DIRECTORY_LIFETIME { 2000 };
 constexpr std::size_t MAX_ADDRESSES = 64;
+constexpr std::size_t MAX_METRICS_READERS = 16;
+// What the host believes is written to the log at this interval,
+constexpr Duration BELIEFS_INTERVAL { 5000 };
 // Reads of the operator's records that are older than this can't show that a route does not exist.
 constexpr Duration CERTAIN_FOR { 3000 };
 // Keys are used up to this long before the bound for keys that were taken away.
@@ -54,11 +59,14 @@
         , m_codec(codec)
         , m_settings(std::move(settings))
         , m_balancer(m_catalog, m_peerLoad,
-              { .ownDataCentre = m_settings.dataCentre, .seed = stableHash(m_settings.host.value()) })
+              { .ownDataCentre = m_settings.dataCentre,
+                  .seed = stableHash(m_settings.host.value()),
+                  .naive = m_settings.naivePolicy })
+        , m_ladder({ .alwaysLargest = m_settings.naivePolicy })
         , m_rollouts(rolloutOptions(m_settings.bounds))
         , m_retries(retryOptions(m_settings.bounds))
         , m_client(http::EventClient::create(loop, clock, { .userTimeout = UPSTREAM_USER_TIMEOUT }))
-        , m_log(clock)
+        , m_log(clock, m_metrics)
         , m_sync({ .loop = loop,
               .clock = clock,
               .codec = codec,
@@ -85,6 +93,18 @@
             .observer = m_log }
         , m_drivers { .loop = loop, .clock = clock, .codec = codec, .client = *m_client, .flows = m_flows }
         , m_door(m_drivers, m_waiting)
+        , m_status({ .clock = clock,
+              .host = m_settings.host,
+              .catalog = m_catalog,
+              .balancer = m_balancer,
+              .rollouts = m_rollouts,
+              .waiting = m_waiting,
+              .sync = m_sync,
+              .link = m_link,
+              .door = m_door,
+              .client = *m_client,
+              .store = store,
+              .metrics = m_metrics })
         , m_tickTimer(loop)
         , m_pumpTimer(loop)
         , m_shutdownTimer(loop)
@@ -100,13 +120,18 @@
             startServer(m_settings.readiness, limit / 4, [this](auto exchange) { serveReadiness(*exchange); }));
         BOOST_LEAF_ASSIGN(m_directory,
             startServer(m_settings.directory, limit / 4, [this](auto exchange) { serveDirectory(*exchange); }));
+        if (m_settings.metrics) {
+            BOOST_LEAF_ASSIGN(m_metricsServer,
+                startServer(
+                    *m_settings.metrics, MAX_METRICS_READERS, [this](auto exchange) { m_status.serve(*exchange); }));
+        }
         BOOST_LEAF_CHECK(m_sync.listen({ .ip = m_settings.frontend.ip, .port = m_settings.firstPeerPort }));
         BOOST_LEAF_CHECK(m_link.open());
         m_sync.start();
         tick();
         pump();
-        spdlog::info("started: host {} in {} serves {}", m_settings.host.value(), m_settings.dataCentre.value(),
-            m_settings.frontend.text());
+        telemetry::logEvent(spdlog::level::info, "host_started",
+            { { "data_centre", m_settings.dataCentre.value() }, { "address", m_settings.frontend.text() } });
         return {};
     }
 
@@ -115,19 +140,20 @@
         const bool moved = settings.frontend != m_settings.frontend || settings.readiness != m_settings.readiness
             || settings.directory != m_settings.directory || settings.firstPeerPort != m_settings.firstPeerPort;
         if (moved)
-            spdlog::warn("reload: addresses changed; they are used from the next start on");
+            telemetry::logEvent(spdlog::level::warn, "settings_partly_taken",
+                { { "reason", "addresses changed; they are used from the next start on" } });
         m_settings.bounds = settings.bounds;
         m_settings.limits = settings.limits;
         m_rollouts.setOptions(rolloutOptions(settings.bounds));
         m_retries.setOptions(retryOptions(settings.bounds));
-        spdlog::info("reload: bounds taken into use");
+        telemetry::logEvent(spdlog::level::info, "settings_reloaded");
     }
 
     void shutDown(std::function<void()> done) override
     {
         if (m_drainingSince)
             return;
-        spdlog::info("stopping: {} requests open", m_door.openRequests());
+        telemetry::logEvent(spdlog::level::info, "host_stopping", { { "open_requests", m_door.openRequests() } });
         m_drainingSince = m_clock.now();
         m_shutdownDone = std::move(done);
         m_frontend->closeAfterAnswers();
@@ -170,8 +196,9 @@
     }
     void onRolloutOrder(const catalog::RolloutOrder& order) override
     {
-        spdlog::info(
-            "roll-out of {} to {} ordered, {} ms", order.service.value(), order.target.value(), order.duration.count());
+        telemetry::logEvent(spdlog::level::info, "rollout_ordered",
+            { { "service", order.service.value() }, { "version", order.target.value() },
+                { "duration_ms", order.duration.count() } });
         m_rollouts.onOrder(order, m_clock.now());
         m_link.reportNow();
     }
@@ -186,13 +213,14 @@
         if (leaving)
             m_client->forget(upstream.address);
         if (newLife || leaving)
-            spdlog::info("upstream {} {} version {} at {}, cold for {} ms", upstream.id.value(),
-                leaving ? "leaves" : "is new", upstream.version.value(), upstream.address.text(),
-                upstream.coldFor.count());
+            telemetry::logEvent(spdlog::level::info, leaving ? "upstream_leaving" : "upstream_new",
+                { { "upstream", upstream.id.value() }, { "version", upstream.version.value() },
+                    { "address", upstream.address.text() }, { "cold_for_ms", upstream.coldFor.count() } });
     }
     void onUpstreamGone(const UpstreamId& id) override
     {
-        spdlog::info("upstream {} is gone", id.value());
+        telemetry::logEvent(
+            spdlog::level::info, "upstream_gone", { { "upstream", id.value() }, { "reason", "registration ended" } });
         m_balancer.forget(id);
     }
 
@@ -274,10 +302,19 @@
         m_rollouts.tick(now);
         m_balancer.expire(now);
         m_conductor.tick(isWriter(now), now);
+        if (now - m_beliefsLoggedAt >= BELIEFS_INTERVAL)
+            logBeliefs(now);
         spdlog::default_logger()->flush();
         later(m_tickTimer, TICK, [this] { tick(); });
     }
 
+    // One short line from which the host's view at a moment can be read afterwards.
+    void logBeliefs(TimePoint now)
+    {
+        m_beliefsLoggedAt = now;
+        telemetry::logEvent(spdlog::level::info, "beliefs", m_status.summary());
+    }
+
     // The host that writes the status of roll-outs.
     bool isWriter(TimePoint now) const
     {
@@ -311,7 +348,7 @@
         const Duration age = m_clock.now() - *m_drainingSince;
         const bool callersGone = age > TAKE_REQUESTS_AFTER_TERM && m_door.openRequests() == 0;
         if (callersGone || age > m_settings.bounds.shutdownGrace - END_MARGIN) {
-            spdlog::info("stopped: {} requests cut", m_door.openRequests());
+            telemetry::logEvent(spdlog::level::info, "host_stopped", { { "requests_cut", m_door.openRequests() } });
             spdlog::default_logger()->flush();
             return m_shutdownDone();
         }
@@ -334,6 +371,7 @@
     dispatch::RetryBudgets m_retries;
     admission::WaitingRoom m_waiting;
     std::unique_ptr<http::EventClient> m_client;
+    telemetry::Metrics m_metrics;
     DecisionLog m_log;
     CatalogSync m_sync;
     FleetLink m_link;
@@ -341,14 +379,17 @@
     FlowContext m_flows;
     DriverContext m_drivers;
     FrontDoor m_door;
+    StatusPages m_status;
     std::unique_ptr<http::EventServer> m_frontend;
     std::unique_ptr<http::EventServer> m_readiness;
     std::unique_ptr<http::EventServer> m_directory;
+    std::unique_ptr<http::EventServer> m_metricsServer;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_pumpTimer;
     boost::asio::steady_timer m_shutdownTimer;
     std::function<void()> m_shutdownDone;
     std::optional<TimePoint> m_drainingSince;
+    TimePoint m_beliefsLoggedAt {};
     // What the last report told of each upstream.
     std::map<fleet::ShortHash, fleet::UpstreamCounters> m_reported;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/entry/internal/fleetlink.cpp
+++ b/src/entry/internal/fleetlink.cpp
@@ -1,7 +1,6 @@
+#include "fireflyhaven/telemetry/logevent.h"
 #include "fleetlink.h"
 
-#include <spdlog/spdlog.h>
-
 namespace fireflyhaven::entry {
 
 namespace {
@@ -76,7 +75,8 @@
 {
     const auto report = fleet::decodeReport(std::string(m_buffer.data(), n));
     if (!report) {
-        spdlog::warn("malformed report from {}", m_sender.address().to_string());
+        telemetry::logEvent(
+            spdlog::level::warn, "peer_report_unreadable", { { "from", m_sender.address().to_string() } });
         return;
     }
     const TimePoint now = m_clock.now();
@@ -88,7 +88,8 @@
         return;
     const bool newLife = lifeBefore != report->life;
     if (newLife)
-        spdlog::info("host {} at {} is heard", report->host.value(), from.text());
+        telemetry::logEvent(
+            spdlog::level::info, "peer_heard", { { "peer", report->host.value() }, { "address", from.text() } });
     m_liveHosts.insert(report->host);
     m_part.onReport(*before, *report, newLife, now);
     for (const http::Endpoint& it : report->otherHosts.items) {
@@ -116,7 +117,7 @@
         const auto it = m_hosts.hosts().find(id);
         if (it != m_hosts.hosts().end() && m_hosts.isLive(it->second, now))
             return false;
-        spdlog::info("host {} is silent", id.value());
+        telemetry::logEvent(spdlog::level::info, "peer_silent", { { "peer", id.value() } });
         m_part.onHostSilent(id);
         return true;
     });
@@ -161,7 +162,7 @@
                 return;
             if (outcome.value)
                 return readHosts({});
-            spdlog::warn("cannot register this host: {}", outcome.reason);
+            telemetry::logEvent(spdlog::level::warn, "registration_failed", { { "reason", outcome.reason } });
             later(m_storeTimer, STORE_RETRY, [this] { registerHost(); });
         });
 }
@@ -172,7 +173,7 @@
         if (!*alive)
             return;
         if (!outcome.value) {
-            spdlog::warn("cannot read the hosts' addresses: {}", outcome.reason);
+            telemetry::logEvent(spdlog::level::warn, "peer_addresses_unread", { { "reason", outcome.reason } });
             return later(m_storeTimer, STORE_RETRY, [this] { readHosts({}); });
         }
         for (const store::KeyedRecord& it : outcome.value->records)
--- a/src/entry/internal/flowevent.cpp
+++ b/src/entry/internal/flowevent.cpp
@@ -11,6 +11,8 @@
         return "queued";
     case FlowStep::Sent:
         return "sent";
+    case FlowStep::FirstToken:
+        return "first_token";
     case FlowStep::Escalated:
         return "escalated";
     case FlowStep::Retried:
--- a/src/entry/internal/frontdoor.cpp
+++ b/src/entry/internal/frontdoor.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <utility>
+
 namespace fireflyhaven::entry {
 
 FrontDoor::FrontDoor(DriverContext& context, admission::WaitingRoom& waiting)
@@ -20,10 +22,21 @@
     });
     m_byTicket[(*place)->waitingTicket()] = place->get();
     (*place)->begin();
+    tellShed();
+}
+
+void FrontDoor::tellShed()
+{
+    for (const admission::TicketId ticket : std::exchange(m_context.flows.shedTickets, {})) {
+        const auto it = m_byTicket.find(ticket);
+        if (it != m_byTicket.end())
+            it->second->onShed();
+    }
 }
 
 void FrontDoor::pump()
 {
+    tellShed();
     const TimePoint now = m_context.clock.now();
     for (const ServiceName& service : m_waiting.servicesWithRequests()) {
         while (const auto ticket = m_waiting.next(service, now)) {
--- a/src/entry/internal/frontdoor.h
+++ b/src/entry/internal/frontdoor.h
@@ -20,6 +20,8 @@
     std::size_t openRequests() const { return m_requests.size(); }
 
 private:
+    void tellShed();
+
     using Requests = std::list<std::unique_ptr<RequestDriver>>;
 
     DriverContext& m_context;
--- a/src/entry/internal/requestdriver.cpp
+++ b/src/entry/internal/requestdriver.cpp
@@ -1,7 +1,5 @@
 #include "requestdriver.h"
 
-#include <spdlog/spdlog.h>
-
 namespace fireflyhaven::entry {
 
 RequestDriver::RequestDriver(
@@ -35,6 +33,12 @@
     return taken;
 }
 
+void RequestDriver::onShed()
+{
+    m_flow.onShed(now());
+    checkDone();
+}
+
 void RequestDriver::startAttempt(const AttemptPlan& plan)
 {
     http::OutgoingRequest request { .head = m_context.codec.encodeUpstreamRequest(m_exchange->head(), plan.order),
--- a/src/entry/internal/requestdriver.h
+++ b/src/entry/internal/requestdriver.h
@@ -28,6 +28,8 @@
     void begin();
     // It is the request's turn to be sent; false where no upstream can take it yet.
     bool onTurn();
+    // The request had to give way to a more urgent one.
+    void onShed();
     admission::TicketId waitingTicket() const { return m_flow.waitingTicket(); }
 
 private:
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -207,6 +207,8 @@
     const admission::WaitingResult result = m_context.waiting.offer(waitingRequest(), now);
     if (result.refusedFor)
         return giveUp("would not get its turn in time", now);
+    if (result.shed)
+        m_context.shedTickets.push_back(*result.shed);
     m_stage = Stage::Waiting;
     report(event(FlowStep::Queued), now);
 }
@@ -236,6 +238,7 @@
 {
     const catalog::UpstreamState* target = m_context.catalog.upstream(ticket.upstream);
     m_ticket = std::move(ticket);
+    m_lastUpstream = m_ticket->upstream;
     m_stage = Stage::AwaitingHead;
     m_version = target->upstream.version;
     m_sentToCold = target->isCold(now);
@@ -302,6 +305,10 @@
     if (success) {
         m_mayHaveRun = true;
         m_context.balancer.onFirstToken(*m_ticket, now);
+        FlowEvent began = event(FlowStep::FirstToken);
+        began.expected = m_ticket->expectedFirstToken();
+        began.observed = now - m_ticket->sentAt;
+        report(began, now);
         judgeVersion(false, timeFactor(now), now);
         if (choosesModel() && facts.confidence)
             m_context.ladder.onConfidence(m_service, m_models[m_model].model, *facts.confidence);
@@ -600,8 +607,7 @@
 FlowEvent RequestFlow::event(FlowStep step, std::string_view reason) const
 {
     FlowEvent it { .step = step, .request = m_request, .route = m_route.get(), .reason = reason, .sends = m_sends };
-    if (m_ticket)
-        it.upstream = m_ticket->upstream;
+    it.upstream = m_lastUpstream;
     if (choosesModel())
         it.model = m_models[m_model].model;
     return it;
--- a/src/entry/tests/flowfixture.h
+++ b/src/entry/tests/flowfixture.h
@@ -75,7 +75,8 @@
 // Three engines behind one service with three models, three plain upstreams behind another, and their routes.
 class Deployment {
 public:
-    explicit Deployment(int maxAttempts = 3)
+    explicit Deployment(int maxAttempts = 3, std::size_t waitingCapacity = 512)
+        : waiting({ .capacity = waitingCapacity })
     {
         using namespace catalog;
         const ServiceName engines("engines");
@@ -102,12 +103,16 @@
         many.name = RouteName("many");
         many.pathPrefix = "/many/";
         many.kind = RouteKind::Idempotent;
+        Route urgent = many;
+        urgent.name = RouteName("urgent");
+        urgent.pathPrefix = "/urgent/";
+        urgent.priority = 0;
         Route open = many;
         open.name = RouteName("open");
         open.pathPrefix = "/open/";
         open.anonymous = true;
         catalog.onConfiguration({ .version = ConfigurationVersion(1),
-            .routes = { stream, once, many, open },
+            .routes = { stream, once, many, urgent, open },
             .services = { engineService, { .name = plain, .maxConnections = 100 } },
             .workspaces = { { .id = WorkspaceId("w"), .keys = { "key" } } } });
         for (int n = 0; n < 3; ++n) {
--- a/src/entry/tests/requestflow_test.cpp
+++ b/src/entry/tests/requestflow_test.cpp
@@ -331,6 +331,22 @@
     cr_assert_eq(last.actions.attempts.size(), 1);
 }
 
+// Pattern: the waiting room is full of less urgent requests. The one that gives way must hear of it, not wait on.
+Test(waiting, aRequestThatGivesWayIsAnsweredAtOnce)
+{
+    Deployment it(3, 1);
+    std::vector<std::unique_ptr<FlowUnderTest>> running;
+    while (!it.steps.saw(FlowStep::Queued))
+        running.push_back(std::make_unique<FlowUnderTest>(it, Deployment::request("/many/x")));
+    FlowUnderTest& waiting = *running.back();
+    CallerRequest urgent = Deployment::request("/urgent/x");
+    const FlowUnderTest second(it, urgent);
+    cr_assert(it.context.shedTickets == std::vector { waiting.flow.waitingTicket() });
+    waiting.flow.onShed(START + Duration(1));
+    cr_assert(waiting.flow.isDone());
+    cr_assert(waiting.actions.ownStatus == 503 && waiting.actions.retryAfter.has_value());
+}
+
 Test(waiting, withNoUpstreamInServiceARequestIsRefusedAtOnce)
 {
     Deployment it;
--- a/src/node/internal/adminservice.cpp
+++ b/src/node/internal/adminservice.cpp
@@ -75,7 +75,7 @@
 }
 
 AdminService::AdminService(
-    const NodeSettings& settings, const IClock& clock, Metrics& metrics, ClusterReplica& replica, Dump dump)
+    const NodeSettings& settings, const IClock& clock, telemetry::Metrics& metrics, ClusterReplica& replica, Dump dump)
     : m_settings(settings)
     , m_clock(clock)
     , m_metrics(metrics)
--- a/src/node/internal/adminservice.h
+++ b/src/node/internal/adminservice.h
@@ -10,8 +10,8 @@
 public:
     using Dump = std::function<nlohmann::json()>;
 
-    AdminService(
-        const NodeSettings& settings, const IClock& clock, Metrics& metrics, ClusterReplica& replica, Dump dump);
+    AdminService(const NodeSettings& settings, const IClock& clock, telemetry::Metrics& metrics,
+        ClusterReplica& replica, Dump dump);
 
     http::Response handle(const http::Request& request);
 
@@ -26,7 +26,7 @@
 
     const NodeSettings& m_settings;
     const IClock& m_clock;
-    Metrics& m_metrics;
+    telemetry::Metrics& m_metrics;
     ClusterReplica& m_replica;
     const Dump m_dump;
 };
--- a/src/node/internal/answerrun.h
+++ b/src/node/internal/answerrun.h
@@ -9,7 +9,7 @@
 
 struct RunDeps {
     const IClock& clock;
-    Metrics& metrics;
+    telemetry::Metrics& metrics;
     ClusterReplica& replica;
     LoadBoard& board;
     RunRouter& router;
--- a/src/node/internal/billingservice.cpp
+++ b/src/node/internal/billingservice.cpp
@@ -16,7 +16,7 @@
 
 }
 
-BillingService::BillingService(const NodeSettings& settings, const IClock& clock, Metrics& metrics,
+BillingService::BillingService(const NodeSettings& settings, const IClock& clock, telemetry::Metrics& metrics,
     ClusterReplica& replica, peer::PeerClient& peers)
     : m_settings(settings)
     , m_clock(clock)
--- a/src/node/internal/billingservice.h
+++ b/src/node/internal/billingservice.h
@@ -10,8 +10,8 @@
 // Brings bills into the log and, until they are there, copies at peers.
 class BillingService {
 public:
-    BillingService(const NodeSettings& settings, const IClock& clock, Metrics& metrics, ClusterReplica& replica,
-        peer::PeerClient& peers);
+    BillingService(const NodeSettings& settings, const IClock& clock, telemetry::Metrics& metrics,
+        ClusterReplica& replica, peer::PeerClient& peers);
     ~BillingService();
     BillingService(const BillingService&) = delete;
     BillingService& operator=(const BillingService&) = delete;
@@ -37,7 +37,7 @@
 
     const NodeSettings& m_settings;
     const IClock& m_clock;
-    Metrics& m_metrics;
+    telemetry::Metrics& m_metrics;
     ClusterReplica& m_replica;
     peer::PeerClient& m_peers;
     adapters::HttpLogService m_log;
--- a/src/node/internal/callcontext.h
+++ b/src/node/internal/callcontext.h
@@ -14,7 +14,7 @@
 struct EntryParts {
     const NodeSettings& settings;
     const IClock& clock;
-    Metrics& metrics;
+    telemetry::Metrics& metrics;
     ClusterReplica& replica;
     RunRouter& router;
     LoadBoard& board;
--- a/src/node/internal/clusterreplica.cpp
+++ b/src/node/internal/clusterreplica.cpp
@@ -32,7 +32,7 @@
 
 }
 
-ClusterReplica::ClusterReplica(const NodeSettings& settings, const IClock& clock, Metrics& metrics,
+ClusterReplica::ClusterReplica(const NodeSettings& settings, const IClock& clock, telemetry::Metrics& metrics,
     std::unique_ptr<peer::HeartbeatSocket> socket, ReplicaHooks hooks)
     : m_settings(settings)
     , m_clock(clock)
--- a/src/node/internal/clusterreplica.h
+++ b/src/node/internal/clusterreplica.h
@@ -7,7 +7,7 @@
 #include "fireflyhaven/ownership/ownertable.h"
 #include "fireflyhaven/peer/heartbeatsocket.h"
 #include "fireflyhaven/adapters/logservice.h"
-#include "metrics.h"
+#include "fireflyhaven/telemetry/metrics.h"
 
 #include <thread>
 
@@ -39,7 +39,7 @@
 // Follows the platform's log, takes part in the membership, and writes records. Owns the threads that do so.
 class ClusterReplica {
 public:
-    ClusterReplica(const NodeSettings& settings, const IClock& clock, Metrics& metrics,
+    ClusterReplica(const NodeSettings& settings, const IClock& clock, telemetry::Metrics& metrics,
         std::unique_ptr<peer::HeartbeatSocket> socket, ReplicaHooks hooks);
     ~ClusterReplica();
     ClusterReplica(const ClusterReplica&) = delete;
@@ -102,7 +102,7 @@
 
     const NodeSettings& m_settings;
     const IClock& m_clock;
-    Metrics& m_metrics;
+    telemetry::Metrics& m_metrics;
     const ReplicaHooks m_hooks;
     std::unique_ptr<peer::HeartbeatSocket> m_socket;
     adapters::HttpLogService m_readLog;
--- a/src/node/internal/node.cpp
+++ b/src/node/internal/node.cpp
@@ -66,7 +66,7 @@
 
     const NodeSettings m_settings;
     const IClock& m_clock;
-    Metrics m_metrics;
+    telemetry::Metrics m_metrics;
     peer::PeerClient m_peers;
     std::atomic<bool> m_draining { false };
     std::atomic<int> m_callersServed { 0 };
--- a/src/node/internal/ownerexecutor.cpp
+++ b/src/node/internal/ownerexecutor.cpp
@@ -49,7 +49,7 @@
 
 }
 
-OwnerExecutor::OwnerExecutor(const NodeSettings& settings, const IClock& clock, Metrics& metrics,
+OwnerExecutor::OwnerExecutor(const NodeSettings& settings, const IClock& clock, telemetry::Metrics& metrics,
     ClusterReplica& replica, IsSuspended isSuspended)
     : m_settings(settings)
     , m_clock(clock)
--- a/src/node/internal/ownerexecutor.h
+++ b/src/node/internal/ownerexecutor.h
@@ -14,8 +14,8 @@
     // Tells whether a version is suspended at a revision of its list item, by whatever way this host knows.
     using IsSuspended = std::function<bool(const ModelVersion&, Offset)>;
 
-    OwnerExecutor(const NodeSettings& settings, const IClock& clock, Metrics& metrics, ClusterReplica& replica,
-        IsSuspended isSuspended);
+    OwnerExecutor(const NodeSettings& settings, const IClock& clock, telemetry::Metrics& metrics,
+        ClusterReplica& replica, IsSuspended isSuspended);
     ~OwnerExecutor();
     OwnerExecutor(const OwnerExecutor&) = delete;
     OwnerExecutor& operator=(const OwnerExecutor&) = delete;
@@ -51,7 +51,7 @@
 
     const NodeSettings& m_settings;
     const IClock& m_clock;
-    Metrics& m_metrics;
+    telemetry::Metrics& m_metrics;
     ClusterReplica& m_replica;
     const IsSuspended m_isSuspended;
     mutable absl::Mutex m_mutex;
--- a/src/node/internal/qualityservice.cpp
+++ b/src/node/internal/qualityservice.cpp
@@ -16,7 +16,7 @@
 }
 
 QualityService::QualityService(
-    const NodeSettings& settings, const IClock& clock, Metrics& metrics, ClusterReplica& replica)
+    const NodeSettings& settings, const IClock& clock, telemetry::Metrics& metrics, ClusterReplica& replica)
     : m_settings(settings)
     , m_clock(clock)
     , m_metrics(metrics)
--- a/src/node/internal/qualityservice.h
+++ b/src/node/internal/qualityservice.h
@@ -13,7 +13,8 @@
 // Has answers rated, keeps the estimates, and suspends versions that fall under their target.
 class QualityService {
 public:
-    QualityService(const NodeSettings& settings, const IClock& clock, Metrics& metrics, ClusterReplica& replica);
+    QualityService(
+        const NodeSettings& settings, const IClock& clock, telemetry::Metrics& metrics, ClusterReplica& replica);
     ~QualityService();
     QualityService(const QualityService&) = delete;
     QualityService& operator=(const QualityService&) = delete;
@@ -54,7 +55,7 @@
 
     const NodeSettings& m_settings;
     const IClock& m_clock;
-    Metrics& m_metrics;
+    telemetry::Metrics& m_metrics;
     ClusterReplica& m_replica;
     adapters::HttpRatingService m_service;
     mutable absl::Mutex m_mutex;
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -1,9 +1,8 @@
+#include "fireflyhaven/telemetry/logevent.h"
 #include "fireflyhaven/rollout/rolloutboard.h"
 
 #include "fireflyhaven/common/hash.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 
 namespace fireflyhaven::rollout {
@@ -198,7 +197,8 @@
 void RolloutBoard::reject(const ServiceName& service, const catalog::SoftwareVersion& version, std::string_view reason)
 {
     if (m_rejected[service].insert(version).second)
-        spdlog::warn("version {} of {} is taken for bad: {}", version.value(), service.value(), reason);
+        telemetry::logEvent(spdlog::level::warn, "version_rejected",
+            { { "service", service.value() }, { "version", version.value() }, { "reason", reason } });
     const auto it = m_rollouts.find(service);
     if (it != m_rollouts.end() && it->second.order.target == version)
         it->second.rejected = true;
--- /dev/null
+++ b/src/telemetry/internal/jsonformatter.cpp
@@ -0,0 +1,40 @@
+#include "fireflyhaven/telemetry/jsonformatter.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/pattern_formatter.h>
+
+namespace fireflyhaven::telemetry {
+
+namespace {
+
+constexpr std::string_view STRUCTURED_PREFIX = "{\"event\":";
+
+// Writes the fields of a message without the outer braces.
+class FieldsFlag final : public spdlog::custom_flag_formatter {
+public:
+    void format(const spdlog::details::log_msg& message, const std::tm&, spdlog::memory_buf_t& out) override
+    {
+        const std::string_view payload(message.payload.data(), message.payload.size());
+        if (payload.starts_with(STRUCTURED_PREFIX)) {
+            const std::string_view fields = payload.substr(1, payload.size() - 2);
+            out.append(fields.data(), fields.data() + fields.size());
+            return;
+        }
+        const std::string text = nlohmann::json(payload).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        constexpr std::string_view PLAIN = "\"event\":\"message\",\"text\":";
+        out.append(PLAIN.data(), PLAIN.data() + PLAIN.size());
+        out.append(text.data(), text.data() + text.size());
+    }
+    std::unique_ptr<custom_flag_formatter> clone() const override { return std::make_unique<FieldsFlag>(); }
+};
+
+}
+
+std::unique_ptr<spdlog::formatter> makeJsonFormatter()
+{
+    auto formatter = std::make_unique<spdlog::pattern_formatter>(spdlog::pattern_time_type::utc);
+    formatter->add_flag<FieldsFlag>('J').set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%J})");
+    return formatter;
+}
+
+}
--- /dev/null
+++ b/src/telemetry/tests/jsonlog_test.cpp
@@ -0,0 +1,70 @@
+#include "fireflyhaven/telemetry/jsonformatter.h"
+#include "fireflyhaven/telemetry/logevent.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <memory>
+#include <sstream>
+
+#include <criterion/criterion.h>
+
+using namespace fireflyhaven::telemetry;
+
+namespace {
+
+// What the default logger writes while this object lives.
+class CapturedLog {
+public:
+    CapturedLog()
+    {
+        auto sink = std::make_shared<spdlog::sinks::ostream_sink_mt>(m_text);
+        auto logger = std::make_shared<spdlog::logger>("captured", sink);
+        logger->set_formatter(makeJsonFormatter());
+        spdlog::set_default_logger(logger);
+    }
+    std::string text() const { return m_text.str(); }
+    nlohmann::json line() const { return nlohmann::json::parse(m_text.str()); }
+
+private:
+    std::ostringstream m_text;
+};
+
+}
+
+Test(json_log, an_event_is_one_line_with_its_fields)
+{
+    CapturedLog log;
+    logEvent(spdlog::level::info, "request_sent", { { "request", "r-1" }, { "expected_ms", 12 } });
+    const auto line = log.line();
+    cr_assert(line["event"] == "request_sent");
+    cr_assert(line["level"] == "info");
+    cr_assert(line["request"] == "r-1");
+    cr_assert(line["expected_ms"] == 12);
+    cr_assert(line["time"].get<std::string>().ends_with("Z"));
+    cr_assert(log.text().find('\n') == log.text().size() - 1);
+}
+
+Test(json_log, a_plain_message_is_escaped)
+{
+    CapturedLog log;
+    spdlog::warn("a \"quoted\" text\nwith two lines");
+    cr_assert(log.line()["event"] == "message");
+    cr_assert(log.line()["text"] == "a \"quoted\" text\nwith two lines");
+}
+
+// Callers choose ids and paths, so any bytes may come.
+Test(json_log, bytes_that_are_no_text_leave_the_line_readable)
+{
+    CapturedLog log;
+    logEvent(spdlog::level::info, "request_sent", { { "request", "\xff\xfe{\"event\":" } });
+    cr_assert(log.line()["event"] == "request_sent");
+}
+
+Test(json_log, a_line_below_the_level_is_not_written)
+{
+    CapturedLog log;
+    logEvent(spdlog::level::debug, "request_sent");
+    cr_assert(log.text().empty());
+}
