--- a/include/fireflyhaven/rollout/rolloutboard.h
+++ b/include/fireflyhaven/rollout/rolloutboard.h
@@ -23,7 +23,7 @@
     double provingEndPart = 0.78;
     // Part of an upstream's slots that is put to use for that, and good answers under load that prove the version.
     double provingLoad = 0.62;
-    std::uint32_t provingAnswers = 8;
+    std::uint32_t provingAnswers = 16;
     // Share of the sessions that moves first, and for how long.
     double wideningShare = 0.35;
     Duration widening { 1000 };
