fireflyhavenctl explain and beliefs: a request's story, and a host's view at a moment, from log lines

Cause: an on-call engineer had to search the lines of all hosts by hand. Change: module explain reads the structured lines of any number of hosts (whatever a collector puts before them) and prints one request's steps in order, or the last summary of a host with what changed since; each line names its host.

--- a/apps/fireflyhavenctl.cpp
+++ b/apps/fireflyhavenctl.cpp
@@ -1,12 +1,15 @@
 #include "fireflyhaven/common/crypto.h"
 #include "fireflyhaven/common/json.h"
 #include "fireflyhaven/config/configfold.h"
+#include "fireflyhaven/explain/story.h"
 #include "fireflyhaven/http/client.h"
 #include "fireflyhaven/settings/optionparser.h"
 #include "fireflyhaven/http/types/status.h"
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <sstream>
 
 using namespace fireflyhaven;
@@ -192,6 +195,44 @@
     return 0;
 }
 
+constexpr std::size_t MOST_FILES = 1000;
+
+// Lines of all files from the argument of this number on, or of standard input where there are none.
+Result<std::vector<explain::LogLine>> readLogs(const Arguments& arguments, std::size_t first)
+{
+    if (arguments.size() <= first)
+        return explain::readLogLines(std::cin);
+    std::vector<explain::LogLine> all;
+    for (std::size_t n = first; n < arguments.size(); ++n) {
+        std::ifstream in(arguments[n]);
+        if (!in)
+            return failure(ErrorCode::InvalidArgument, arguments[n] + ": cannot be read");
+        std::vector<explain::LogLine> lines = explain::readLogLines(in);
+        std::move(lines.begin(), lines.end(), std::back_inserter(all));
+    }
+    return all;
+}
+
+Result<int> explainRequest(const Settings&, const Arguments& arguments)
+{
+    BOOST_LEAF_AUTO(lines, readLogs(arguments, 1));
+    const auto story = explain::storyOf(lines, arguments[0]);
+    if (!story)
+        return failure(ErrorCode::NotFound, arguments[0] + ": no line names this request");
+    std::cout << *story;
+    return 0;
+}
+
+Result<int> showBeliefs(const Settings&, const Arguments& arguments)
+{
+    BOOST_LEAF_AUTO(lines, readLogs(arguments, 2));
+    const auto beliefs = explain::beliefsOf(lines, arguments[0], arguments[1]);
+    if (!beliefs)
+        return failure(ErrorCode::NotFound, arguments[0] + ": no summary at or before " + arguments[1]);
+    std::cout << *beliefs;
+    return 0;
+}
+
 Result<int> digest(const Settings&, const Arguments& arguments)
 {
     std::cout << digestHex(arguments[0]) << "\n";
@@ -268,6 +309,10 @@
     { "addresses", "", "Print the entry hosts to use.", 0, 0, addresses },
     { "send", "TEXT", "Send a chat request.", 1, 1, send },
     { "call", "SERVICE/PATH [BODY]", "Call a plain service.", 1, 2, callService },
+    { "explain", "REQUEST [FILE...]", "Print the steps of one request from log lines (standard input by default).", 1,
+        MOST_FILES, explainRequest },
+    { "beliefs", "HOST TIME [FILE...]", "Print what a host believed at a time (UTC, as in the log).", 2, MOST_FILES,
+        showBeliefs },
     { "digest", "KEY", "Print the key_digest of a workspace's key.", 1, 1, digest },
 };
 
--- a/apps/logsetup.cpp
+++ b/apps/logsetup.cpp
@@ -11,7 +11,7 @@
 {
     spdlog::set_level(spdlog::level::from_str(settings.level));
     if (settings.json)
-        spdlog::set_formatter(telemetry::makeJsonFormatter());
+        spdlog::set_formatter(telemetry::makeJsonFormatter(settings.host));
 }
 
 void setUpBoundedLog(const LogSettings& settings)
--- a/apps/logsetup.h
+++ b/apps/logsetup.h
@@ -9,6 +9,8 @@
     // debug, info, warn or error.
     std::string level = "info";
     bool json = false;
+    // Stands in each line where it is set.
+    std::string host;
 };
 
 // Sets up the default logger.
--- a/apps/platformdaemon.cpp
+++ b/apps/platformdaemon.cpp
@@ -75,6 +75,7 @@
     {
         BOOST_LEAF_ASSIGN(m_settingsText, platform::readSettingsText(m_settingsFile));
         BOOST_LEAF_AUTO(settings, combine(m_settingsText, m_own));
+        setUpLog({ .level = m_own.logLevel, .json = true, .host = settings.host.value() });
         m_store = platform::StoreClient::create(m_loop, m_clock, { .address = settings.store.address });
         BOOST_LEAF_ASSIGN(m_host, entry::EntryHost::start(m_loop, m_clock, m_codec, *m_store, std::move(settings)));
         awaitSignal();
--- a/include/fireflyhaven/telemetry/jsonformatter.h
+++ b/include/fireflyhaven/telemetry/jsonformatter.h
@@ -3,11 +3,12 @@
 #include <spdlog/formatter.h>
 
 #include <memory>
+#include <string>
 
 namespace fireflyhaven::telemetry {
 
-// Formats each line as one JSON object: time (UTC), level, then the fields of `logEvent`. A plain message becomes the
-// event "message" with the field "text".
-std::unique_ptr<spdlog::formatter> makeJsonFormatter();
+// Formats each line as one JSON object: time (UTC), level, host where one is given, then the fields of `logEvent`. A
+// plain message becomes the event "message" with the field "text".
+std::unique_ptr<spdlog::formatter> makeJsonFormatter(const std::string& host = {});
 
 }
--- a/src/telemetry/tests/jsonlog_test.cpp
+++ b/src/telemetry/tests/jsonlog_test.cpp
@@ -17,11 +17,11 @@
 // What the default logger writes while this object lives.
 class CapturedLog {
 public:
-    CapturedLog()
+    explicit CapturedLog(const std::string& host = {})
     {
         auto sink = std::make_shared<spdlog::sinks::ostream_sink_mt>(m_text);
         auto logger = std::make_shared<spdlog::logger>("captured", sink);
-        logger->set_formatter(makeJsonFormatter());
+        logger->set_formatter(makeJsonFormatter(host));
         spdlog::set_default_logger(logger);
     }
     std::string text() const { return m_text.str(); }
@@ -46,6 +46,13 @@
     cr_assert(log.text().find('\n') == log.text().size() - 1);
 }
 
+Test(json_log, the_host_stands_in_each_line)
+{
+    CapturedLog log("h\"1");
+    logEvent(spdlog::level::info, "store_lost");
+    cr_assert(log.line()["host"] == "h\"1" && log.line()["event"] == "store_lost");
+}
+
 Test(json_log, a_plain_message_is_escaped)
 {
     CapturedLog log;
