--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "fireflyhaven/entry/eventsplitter.h"
-#include "fireflyhaven/entry/flowcontext.h"
+#include "fireflyhaven/entry/requesttarget.h"
 #include "fireflyhaven/http/eventclient.h"
 
 namespace fireflyhaven::entry {
@@ -78,15 +78,10 @@
     // Answers at once where the request can't be routed; otherwise sets route and caller.
     bool admit(TimePoint now);
     bool identify(TimePoint now);
-    void chooseService();
     // Sends the request, lets it wait, or refuses it.
     void dispatch(TimePoint now);
     bool trySend(TimePoint now);
     void waitOrRefuse(TimePoint now);
-    balancing::Demand demand(std::size_t model) const;
-    rollout::RequestWeight weight(std::size_t model) const;
-    // The demand with the versions that the request may go to.
-    balancing::Demand demandFor(std::size_t model, TimePoint now) const;
     admission::WaitingRequest waitingRequest() const;
     void send(balancing::Ticket ticket, TimePoint now);
     void startAttempt(const catalog::Upstream& upstream, TimePoint now);
@@ -114,26 +109,20 @@
     void arm();
     void report(FlowEvent event, TimePoint now);
     FlowEvent event(FlowStep step, std::string_view reason = {}) const;
-    std::uint64_t sessionHash() const;
     void noteSession(TimePoint now);
-    bool choosesModel() const { return !m_models.empty(); }
 
     FlowContext& m_context;
     IFlowActions& m_actions;
     const CallerRequest m_request;
     const admission::TicketId m_waitingTicket;
+    RequestTarget m_target;
     Stage m_stage = Stage::Received;
     std::shared_ptr<const catalog::Route> m_route;
     std::optional<catalog::Caller> m_caller;
-    ServiceName m_service;
-    routing::ModelPrices m_models;
-    std::size_t m_model = 0;
     TimePoint m_receivedAt {};
     TimePoint m_deadline {};
     // Without progress until then the open attempt is given up; no value where it is left to the deadline.
     std::optional<TimePoint> m_attemptDeadline;
-    // Upstreams that are not asked again for this request.
-    std::vector<UpstreamId> m_excluded;
     // Sends that an upstream may have received.
     int m_sends = 0;
     int m_connectFailures = 0;
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -14,8 +14,6 @@
 // Time to come back that is named while nothing better is known.
 constexpr Duration COME_BACK { 300 };
 constexpr Duration LONGEST_COME_BACK { 2000 };
-// An engine reads prompts up to this size within a few steps.
-constexpr std::uint32_t LIGHT_PROMPT_TOKENS = 3000;
 // Times below this are noise beside each other.
 constexpr double TIME_FLOOR_MS = 5;
 constexpr std::size_t MAX_COLLECTED_BYTES = 1024 * 1024;
@@ -39,6 +37,7 @@
     , m_actions(actions)
     , m_request(std::move(request))
     , m_waitingTicket(context.nextTicket++)
+    , m_target(context, m_request)
     , m_lastEventId(m_request.lastEventId)
 {
 }
@@ -46,7 +45,7 @@
 RequestFlow::~RequestFlow()
 {
     if (m_stage == Stage::Waiting)
-        m_context.waiting.remove(m_service, m_waitingTicket);
+        m_context.waiting.remove(m_target.service(), m_waitingTicket);
     if (m_ticket)
         m_context.balancer.onEnded(*m_ticket, SendOutcome::Abandoned, m_receivedAt);
 }
@@ -56,8 +55,8 @@
     m_receivedAt = now;
     if (!admit(now))
         return;
-    chooseService();
-    m_context.retries.onRequest(m_service, now);
+    m_target.choose(*m_route);
+    m_context.retries.onRequest(m_target.service(), now);
     m_deadline = now + std::min(m_request.deadline.value_or(m_route->timeout), m_route->timeout);
     dispatch(now);
     arm();
@@ -100,76 +99,6 @@
     return false;
 }
 
-// A session keeps its service where a route is split by weights.
-void RequestFlow::chooseService()
-{
-    double total = 0;
-    for (const catalog::WeightedService& it : m_route->services)
-        total += it.weight;
-    const std::string& subject = m_request.session ? m_request.session->value() : m_request.attempt.value();
-    double place = unitInterval(stableHash(subject, stableHash(m_route->name.value()))) * total;
-    m_service = m_route->services.back().service;
-    for (const catalog::WeightedService& it : m_route->services) {
-        place -= it.weight;
-        if (place < 0) {
-            m_service = it.service;
-            break;
-        }
-    }
-    const catalog::Service* service = m_context.catalog.service(m_service);
-    for (const catalog::ModelName& model : m_route->models) {
-        catalog::ModelPrice price { .model = model, .costPerThousandTokens = 1 };
-        const bool priced = service && service->engine;
-        for (const catalog::ModelPrice& it : priced ? service->engine->models : std::vector<catalog::ModelPrice>()) {
-            if (it.model == model)
-                price = it;
-        }
-        m_models.push_back(price);
-    }
-    m_model = m_context.ladder.first(m_service, m_models);
-}
-
-std::uint64_t RequestFlow::sessionHash() const
-{
-    const std::string& subject = m_request.session ? m_request.session->value() : m_request.attempt.value();
-    return stableHash(subject, stableHash(m_service.value()));
-}
-
-balancing::Demand RequestFlow::demand(std::size_t model) const
-{
-    balancing::Demand it { .service = m_service, .excluded = m_excluded };
-    it.promptTokens = m_request.promptTokens;
-    it.promptParts = m_request.promptParts;
-    if (choosesModel())
-        it.model = m_models[model].model;
-    else if (!m_request.model.empty())
-        it.model = catalog::ModelName(m_request.model);
-    return it;
-}
-
-rollout::RequestWeight RequestFlow::weight(std::size_t model) const
-{
-    if (m_request.promptTokens > LIGHT_PROMPT_TOKENS)
-        return rollout::RequestWeight::Heavy;
-    const bool largest = !choosesModel() || model + 1 == m_models.size();
-    return largest ? rollout::RequestWeight::QuickAndLong : rollout::RequestWeight::QuickAndShort;
-}
-
-balancing::Demand RequestFlow::demandFor(std::size_t model, TimePoint now) const
-{
-    balancing::Demand it = demand(model);
-    const rollout::VersionWish wish = m_context.rollouts.wishFor(m_service, sessionHash(), weight(model), now);
-    it.onlyVersion = wish.only;
-    it.notVersions = wish.except;
-    it.onlyUpstream = wish.upstream;
-    if (wish.upstream && !m_context.balancer.isServable(it, now))
-        it.onlyUpstream.reset();
-    // Where the version wished for has no upstream left, the other one is better than none.
-    if (wish.only && !m_context.balancer.isServable(it, now))
-        it.onlyVersion.reset();
-    return it;
-}
-
 void RequestFlow::dispatch(TimePoint now)
 {
     if (!trySend(now) && m_stage != Stage::Done)
@@ -183,7 +112,7 @@
         giveUp("key no longer confirmed", now);
         return false;
     }
-    auto ticket = m_context.balancer.send(demandFor(m_model, now), m_context.host.sharers(now), now);
+    auto ticket = m_context.balancer.send(m_target.demand(now), m_context.host.sharers(now), now);
     if (!ticket)
         return false;
     send(std::move(*ticket), now);
@@ -194,7 +123,7 @@
 {
     const int priority = m_caller && m_caller->priority ? *m_caller->priority : m_route->priority;
     return { .id = m_waitingTicket,
-        .service = m_service,
+        .service = m_target.service(),
         .workspace = m_caller ? m_caller->workspace : WorkspaceId(),
         .priority = priority,
         .startBy = m_deadline };
@@ -202,7 +131,7 @@
 
 void RequestFlow::waitOrRefuse(TimePoint now)
 {
-    if (!m_context.balancer.isServable(demandFor(m_model, now), now))
+    if (!m_context.balancer.isServable(m_target.demand(now), now))
         return giveUp("no upstream in service", now);
     const admission::WaitingResult result = m_context.waiting.offer(waitingRequest(), now);
     if (result.refusedFor)
@@ -217,7 +146,7 @@
 {
     m_stage = Stage::Received;
     if (trySend(now)) {
-        m_context.waiting.onStarted(m_service, now);
+        m_context.waiting.onStarted(m_target.service(), now);
         arm();
         return true;
     }
@@ -269,15 +198,15 @@
         plan.freshFor = m_context.options.freshFor;
     if (m_caller)
         plan.order.workspace = m_caller->workspace;
-    if (choosesModel())
-        plan.order.model = m_models[m_model].model;
+    if (m_target.choosesModel())
+        plan.order.model = m_target.modelName();
     m_actions.startAttempt(plan);
 }
 
 void RequestFlow::noteSession(TimePoint now)
 {
     if (m_request.session)
-        m_context.rollouts.onSessionUsed(m_service, sessionHash(), m_version, now);
+        m_context.rollouts.onSessionUsed(m_target.service(), m_target.sessionHash(), m_version, now);
 }
 
 void RequestFlow::attemptOver(SendOutcome outcome, TimePoint now)
@@ -310,8 +239,8 @@
         began.observed = now - m_ticket->sentAt;
         report(began, now);
         judgeVersion(false, timeSample(now), now);
-        if (choosesModel() && facts.confidence)
-            m_context.ladder.onConfidence(m_service, m_models[m_model].model, *facts.confidence);
+        if (m_target.choosesModel() && facts.confidence)
+            m_context.ladder.onConfidence(m_target.service(), m_target.modelName(), *facts.confidence);
         if (escalate(now))
             return http::HeadVerdict::Accept;
     }
@@ -347,7 +276,7 @@
 
 void RequestFlow::judgeVersion(bool failed, std::optional<quality::TimeSample> time, TimePoint now)
 {
-    m_context.rollouts.onAnswer({ .service = m_service,
+    m_context.rollouts.onAnswer({ .service = m_target.service(),
                                     .route = m_route->name,
                                     .version = m_version,
                                     .upstream = m_ticket->upstream,
@@ -367,15 +296,16 @@
 
 bool RequestFlow::escalate(TimePoint now)
 {
-    if (!choosesModel() || m_headSent || !m_facts.confidence || !mayTryAgain(true, now))
+    if (!m_target.choosesModel() || m_headSent || !m_facts.confidence || !mayTryAgain(true, now))
         return false;
-    const std::size_t largest = m_models.size() - 1;
-    const auto outlook = m_context.balancer.outlook(demandFor(largest, now), m_context.host.sharers(now), now);
+    const std::size_t largest = m_target.models().size() - 1;
+    const auto outlook = m_context.balancer.outlook(m_target.demand(largest, now), m_context.host.sharers(now), now);
     if (!outlook)
         return false;
     const bool inTime = now + outlook->firstToken() <= m_receivedAt + m_route->targetLatency && !isCongested(*outlook);
-    const auto next = m_context.ladder.next(m_service, m_models, m_model, *m_facts.confidence, inTime);
-    if (!next || !m_context.retries.take(m_service, m_sends, now))
+    const auto next
+        = m_context.ladder.next(m_target.service(), m_target.models(), m_target.model(), *m_facts.confidence, inTime);
+    if (!next || !m_context.retries.take(m_target.service(), m_sends, now))
         return false;
     FlowEvent escalated = event(FlowStep::Escalated);
     escalated.confidence = m_facts.confidence;
@@ -383,7 +313,7 @@
     report(escalated, now);
     m_actions.cancelAttempt();
     attemptOver(SendOutcome::Good, now);
-    m_model = *next;
+    m_target.setModel(*next);
     dispatch(now);
     arm();
     return true;
@@ -394,7 +324,7 @@
 {
     if (outlook.timeAhead <= m_context.options.idleWait)
         return false;
-    const Duration target = m_context.catalog.tightestTarget(m_service).value_or(m_route->targetLatency);
+    const Duration target = m_context.catalog.tightestTarget(m_target.service()).value_or(m_route->targetLatency);
     const Duration load = outlook.timeAhead + outlook.ownTime / 2;
     return static_cast<double>(load.count()) > m_context.options.escalationPart * static_cast<double>(target.count());
 }
@@ -477,7 +407,7 @@
     report(event(FlowStep::AttemptFailed, reason), now);
     --m_sends;
     ++m_connectFailures;
-    m_excluded.push_back(m_ticket->upstream);
+    m_target.exclude(m_ticket->upstream);
     attemptOver(SendOutcome::Unreachable, now);
     // A send that reached nobody takes nothing from the budget.
     if (!mayTryAgain(false, now))
@@ -490,12 +420,12 @@
 {
     report(event(FlowStep::AttemptFailed, reason), now);
     if (m_ticket)
-        m_excluded.push_back(m_ticket->upstream);
+        m_target.exclude(m_ticket->upstream);
     const bool misdirected = !ran && m_facts.status == STATUS_MISDIRECTED;
     const SendOutcome refused = misdirected ? SendOutcome::Unreachable : SendOutcome::Refused;
     attemptOver(ran ? SendOutcome::Failed : refused, now);
     m_mayHaveRun = m_mayHaveRun || ran;
-    if (!mayTryAgain(ran, now) || !m_context.retries.take(m_service, m_sends, now))
+    if (!mayTryAgain(ran, now) || !m_context.retries.take(m_target.service(), m_sends, now))
         return giveUp(reason, now);
     sendAgain(reason, now);
 }
@@ -523,7 +453,8 @@
     }
     if (m_mayHaveRun)
         return answerOwn(FlowStep::Failed, STATUS_BAD_GATEWAY, std::nullopt, reason, now);
-    const Duration wait = std::clamp(m_context.waiting.expectedWait(m_service, now), COME_BACK, LONGEST_COME_BACK);
+    const Duration wait
+        = std::clamp(m_context.waiting.expectedWait(m_target.service(), now), COME_BACK, LONGEST_COME_BACK);
     refuse(STATUS_UNAVAILABLE, wait, reason, now);
 }
 
@@ -560,13 +491,13 @@
     constexpr std::string_view REASON = "no progress in time";
     m_attemptDeadline.reset();
     const bool otherUpstream
-        = m_context.balancer.outlook(demandFor(m_model, now), m_context.host.sharers(now), now).has_value();
-    if (!otherUpstream || !mayTryAgain(true, now) || !m_context.retries.take(m_service, m_sends, now))
+        = m_context.balancer.outlook(m_target.demand(now), m_context.host.sharers(now), now).has_value();
+    if (!otherUpstream || !mayTryAgain(true, now) || !m_context.retries.take(m_target.service(), m_sends, now))
         return;
     report(event(FlowStep::AttemptFailed, REASON), now);
     m_actions.cancelAttempt();
     m_mayHaveRun = true;
-    m_excluded.push_back(m_ticket->upstream);
+    m_target.exclude(m_ticket->upstream);
     attemptOver(SendOutcome::Failed, now);
     sendAgain(REASON, now);
 }
@@ -579,7 +510,7 @@
         m_actions.cancelAttempt();
     attemptOver(SendOutcome::Abandoned, now);
     if (m_stage == Stage::Waiting)
-        m_context.waiting.remove(m_service, m_waitingTicket);
+        m_context.waiting.remove(m_target.service(), m_waitingTicket);
     report(event(FlowStep::CallerLeft), now);
     end();
 }
@@ -588,7 +519,7 @@
     FlowStep step, int status, std::optional<Duration> retryAfter, std::string_view reason, TimePoint now)
 {
     if (m_stage == Stage::Waiting)
-        m_context.waiting.remove(m_service, m_waitingTicket);
+        m_context.waiting.remove(m_target.service(), m_waitingTicket);
     FlowEvent it = event(step, reason);
     it.status = status;
     it.retryAfter = retryAfter;
@@ -609,8 +540,8 @@
 {
     FlowEvent it { .step = step, .request = m_request, .route = m_route.get(), .reason = reason, .sends = m_sends };
     it.upstream = m_lastUpstream;
-    if (choosesModel())
-        it.model = m_models[m_model].model;
+    if (m_target.choosesModel())
+        it.model = m_target.modelName();
     return it;
 }
 
--- /dev/null
+++ b/src/entry/internal/requesttarget.cpp
@@ -0,0 +1,90 @@
+#include "fireflyhaven/entry/requesttarget.h"
+
+#include "fireflyhaven/common/hash.h"
+
+namespace fireflyhaven::entry {
+
+namespace {
+
+// An engine reads prompts up to this size within a few steps.
+constexpr std::uint32_t LIGHT_PROMPT_TOKENS = 3000;
+
+}
+
+RequestTarget::RequestTarget(const FlowContext& context, const CallerRequest& request)
+    : m_context(context)
+    , m_request(request)
+{
+}
+
+// A session keeps its service where a route is split by weights.
+void RequestTarget::choose(const catalog::Route& route)
+{
+    double total = 0;
+    for (const catalog::WeightedService& it : route.services)
+        total += it.weight;
+    const std::string& subject = m_request.session ? m_request.session->value() : m_request.attempt.value();
+    double place = unitInterval(stableHash(subject, stableHash(route.name.value()))) * total;
+    m_service = route.services.back().service;
+    for (const catalog::WeightedService& it : route.services) {
+        place -= it.weight;
+        if (place < 0) {
+            m_service = it.service;
+            break;
+        }
+    }
+    const catalog::Service* service = m_context.catalog.service(m_service);
+    for (const catalog::ModelName& model : route.models) {
+        catalog::ModelPrice price { .model = model, .costPerThousandTokens = 1 };
+        const bool priced = service && service->engine;
+        for (const catalog::ModelPrice& it : priced ? service->engine->models : std::vector<catalog::ModelPrice>()) {
+            if (it.model == model)
+                price = it;
+        }
+        m_models.push_back(price);
+    }
+    m_model = m_context.ladder.first(m_service, m_models);
+}
+
+std::uint64_t RequestTarget::sessionHash() const
+{
+    const std::string& subject = m_request.session ? m_request.session->value() : m_request.attempt.value();
+    return stableHash(subject, stableHash(m_service.value()));
+}
+
+balancing::Demand RequestTarget::demandOfAnyVersion(std::size_t model) const
+{
+    balancing::Demand it { .service = m_service, .excluded = m_excluded };
+    it.promptTokens = m_request.promptTokens;
+    it.promptParts = m_request.promptParts;
+    if (choosesModel())
+        it.model = m_models[model].model;
+    else if (!m_request.model.empty())
+        it.model = catalog::ModelName(m_request.model);
+    return it;
+}
+
+rollout::RequestWeight RequestTarget::weight(std::size_t model) const
+{
+    if (m_request.promptTokens > LIGHT_PROMPT_TOKENS)
+        return rollout::RequestWeight::Heavy;
+    const bool largest = !choosesModel() || model + 1 == m_models.size();
+    return largest ? rollout::RequestWeight::QuickAndLong : rollout::RequestWeight::QuickAndShort;
+}
+
+balancing::Demand RequestTarget::demand(std::size_t model, TimePoint now) const
+{
+    balancing::Demand it = demandOfAnyVersion(model);
+    const rollout::VersionWish wish = m_context.rollouts.wishFor(m_service, sessionHash(), weight(model), now);
+    it.onlyVersion = wish.only;
+    it.notVersions = wish.except;
+    it.onlyUpstream = wish.upstream;
+    if (wish.upstream && !m_context.balancer.isServable(it, now))
+        it.onlyUpstream.reset();
+    // Where the version wished for has no upstream left, the other one is better than none.
+    if (wish.only && !m_context.balancer.isServable(it, now))
+        it.onlyVersion.reset();
+    return it;
+}
+
+}
