Dropped log lines are told in the log

Cause: the bounded sink counted what it dropped and told nobody. Change: the next line that finds room is preceded by log_lines_dropped with their number. Test: writing_goes_on_once_the_reader_is_back expects that line, with the number that the sink counted.

--- a/include/fireflyhaven/telemetry/boundedsink.h
+++ b/include/fireflyhaven/telemetry/boundedsink.h
@@ -16,7 +16,8 @@
 };
 
 // Log sink for one thread that never waits for its reader. Lines are buffered and written while the descriptor can take
-// them; whole lines that find no room are dropped and counted. Lines below the level `warn` may use half of the buffer
+// them; whole lines that find no room are dropped and counted, and the next line that finds room is preceded by one
+// that tells how many there were (event "log_lines_dropped"). Lines below the level `warn` may use half of the buffer
 // only, so that failures find room where what goes well is plentiful.
 class BoundedSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
 public:
@@ -31,11 +32,15 @@
     void sink_it_(const spdlog::details::log_msg& message) override;
     // Writes what the descriptor takes without waiting.
     void flush_() override;
+    void append(const spdlog::details::log_msg& message);
+    // Tells of the lines that were dropped since the last time.
+    void tellDropped();
     bool canWrite() const;
 
     const BoundedSinkOptions m_options;
     std::string m_buffer;
     std::uint64_t m_droppedLines = 0;
+    std::uint64_t m_toldDroppedLines = 0;
     std::uint64_t m_writtenBytes = 0;
 };
 
--- a/src/telemetry/internal/boundedsink.cpp
+++ b/src/telemetry/internal/boundedsink.cpp
@@ -1,5 +1,6 @@
 #include "fireflyhaven/telemetry/boundedsink.h"
 
+#include <fmt/format.h>
 #include <poll.h>
 #include <unistd.h>
 
@@ -31,11 +32,28 @@
         ++m_droppedLines;
         return;
     }
+    if (m_droppedLines > m_toldDroppedLines)
+        tellDropped();
     m_buffer.append(line.data(), line.size());
     if (m_buffer.size() >= FLUSH_AT_BYTES)
         flush_();
 }
 
+void BoundedSink::append(const spdlog::details::log_msg& message)
+{
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    m_buffer.append(line.data(), line.size());
+}
+
+void BoundedSink::tellDropped()
+{
+    const std::string text
+        = fmt::format(R"({{"event":"log_lines_dropped","lines":{}}})", m_droppedLines - m_toldDroppedLines);
+    m_toldDroppedLines = m_droppedLines;
+    append(spdlog::details::log_msg("", spdlog::level::warn, text));
+}
+
 // A pipe that is reported as writable takes PIPE_BUF bytes without blocking, also where it is not in that mode.
 bool BoundedSink::canWrite() const
 {
--- a/src/telemetry/tests/boundedsink_test.cpp
+++ b/src/telemetry/tests/boundedsink_test.cpp
@@ -88,7 +88,7 @@
         it.logger.info("{}", LINE);
     const std::uint64_t dropped = it.sink->droppedLines();
     it.logger.warn("{}", LINE);
-    cr_assert(it.sink->droppedLines() == dropped);
+    cr_assert(it.sink->droppedLines() == dropped, "the line was dropped");
     it.logger.info("{}", LINE);
     cr_assert(it.sink->droppedLines() == dropped + 1);
 }
@@ -102,6 +102,8 @@
     it.logger.warn("back");
     it.logger.flush();
     const std::string text = it.pipe.readAll();
-    cr_assert(text.ends_with("back\n"));
+    const std::string told
+        = "{\"event\":\"log_lines_dropped\",\"lines\":" + std::to_string(it.sink->droppedLines()) + "}\n";
+    cr_assert(text.ends_with(told + "back\n"));
     cr_assert(it.sink->bufferedBytes() == 0);
 }
