A version that failed under load and was not proved in time is taken back

Change: where time is up without a proof, more than twice the failures that the old version has among as many answers take the version back.

--- a/include/fireflyhaven/rollout/rolloutboard.h
+++ b/include/fireflyhaven/rollout/rolloutboard.h
@@ -147,6 +147,8 @@
     bool mayProve(const Rollout& it, RequestWeight weight, TimePoint now) const;
     bool mayEndTrial(const Rollout& it, TimePoint now) const;
     void endTrial(Rollout& it, TimePoint now);
+    // Lets sessions move where the version is proved or time is up, unless its answers under load speak against it.
+    void endProof(Rollout& it, TimePoint now);
     bool mayMove(const Rollout& it, TimePoint now) const;
     void judge(const Rollout& it, TimePoint now);
     void noteStage(Rollout& it, TimePoint now) const;
--- a/include/fireflyhaven/rollout/versionjudge.h
+++ b/include/fireflyhaven/rollout/versionjudge.h
@@ -50,6 +50,8 @@
 struct LoadedAnswers {
     std::uint32_t good = 0;
     std::uint32_t failed = 0;
+    // Failures that the old version would have had among as many answers.
+    double expectedFailed = 0;
 
     LoadedAnswers& operator+=(const LoadedAnswers& other);
     // Whether they show that the version bears the load: enough good ones, and many for each that failed.
@@ -58,6 +60,8 @@
     bool disprove() const;
     // Whether there are enough of them to say so before time is up.
     bool isCertain() const;
+    // Whether so many failed that the version should not replace the old one without a proof.
+    bool isSuspect() const;
 };
 
 // Answers that a version has given, on all hosts.
@@ -84,7 +88,7 @@
     quality::TimeEvidence times(const OldAnswers& old) const;
     AnswerTotals totals() const;
     // Answers of upstreams at work at half of their slots or more, on all hosts.
-    LoadedAnswers underLoad() const;
+    LoadedAnswers underLoad(const OldAnswers& old) const;
 
 private:
     struct Counts {
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -382,7 +382,7 @@
         return false;
     // Where the requests are too few to put an upstream under load, the proof ends without a result.
     const bool outOfTime = now - it.learnedAt >= partOfOrder(it, m_options.provingEndPart);
-    return outOfTime || it.judge.underLoad().prove(m_options.provingAnswers);
+    return outOfTime || it.judge.underLoad(m_oldAnswers).prove(m_options.provingAnswers);
 }
 
 void RolloutBoard::tick(TimePoint now)
@@ -391,16 +391,30 @@
     for (auto& [service, it] : m_rollouts) {
         if (!it.provingSince && mayEndTrial(it, now))
             endTrial(it, now);
-        const LoadedAnswers underLoad = it.judge.underLoad();
-        const bool fails = it.provingSince && !it.movingSince && !it.rejected && underLoad.disprove();
-        if (fails && (underLoad.isCertain() || mayMove(it, now)))
-            reject(service, it.order.target, "it fails under load");
-        else if (!fails && !it.movingSince && mayMove(it, now))
-            it.movingSince = now;
+        if (it.provingSince && !it.movingSince && !it.rejected)
+            endProof(it, now);
         noteStage(it, now);
     }
 }
 
+void RolloutBoard::endProof(Rollout& it, TimePoint now)
+{
+    const LoadedAnswers underLoad = it.judge.underLoad(m_oldAnswers);
+    const bool over = mayMove(it, now);
+    if (underLoad.disprove()) {
+        if (over || underLoad.isCertain())
+            reject(it.order.service, it.order.target, "it fails under load");
+        return;
+    }
+    if (!over)
+        return;
+    // Time is up: without a proof, more failures than the old version has speak against it.
+    if (!underLoad.prove(m_options.provingAnswers) && underLoad.isSuspect())
+        reject(it.order.service, it.order.target, "it failed under load and was not proved in time");
+    else
+        it.movingSince = now;
+}
+
 void RolloutBoard::noteStage(Rollout& it, TimePoint now) const
 {
     const Stage current = stage(it, now);
@@ -408,7 +422,7 @@
         return;
     it.notedStage = current;
     const AnswerTotals totals = it.judge.totals();
-    const LoadedAnswers underLoad = it.judge.underLoad();
+    const LoadedAnswers underLoad = it.judge.underLoad(m_oldAnswers);
     const quality::TimeEvidence times = it.judge.times(m_oldAnswers);
     telemetry::logEvent(spdlog::level::info, "rollout_stage",
         { { "service", it.order.service.value() }, { "version", it.order.target.value() },
--- a/src/rollout/internal/versionjudge.cpp
+++ b/src/rollout/internal/versionjudge.cpp
@@ -29,6 +29,8 @@
 constexpr std::uint32_t MOST_GOOD_PER_FAILED = 5;
 constexpr std::uint32_t LEAST_FAILED = 2;
 constexpr std::uint32_t CERTAIN_FAILED = 5;
+// Failures beyond those expected, as a factor, that make a version suspect.
+constexpr double SUSPECT_FACTOR = 2;
 
 // The detector keeps evidence by kind of request.
 quality::RatingKey ratingKey(fleet::ShortHash route) { return { .task = TaskName(std::to_string(route)) }; }
@@ -156,15 +158,18 @@
     return sum;
 }
 
-LoadedAnswers VersionJudge::underLoad() const
+LoadedAnswers VersionJudge::underLoad(const OldAnswers& old) const
 {
     LoadedAnswers sum;
-    for (const auto& [route, counts] : m_own)
-        sum += counts.underLoad;
-    for (const auto& [host, routes] : m_others) {
-        for (const auto& [route, counts] : routes)
+    const auto add = [&](const ByRoute& routes) {
+        for (const auto& [route, counts] : routes) {
             sum += counts.underLoad;
-    }
+            sum.expectedFailed += (1 - old.goodShare(route)) * (counts.underLoad.good + counts.underLoad.failed);
+        }
+    };
+    add(m_own);
+    for (const auto& [host, routes] : m_others)
+        add(routes);
     return sum;
 }
 
@@ -172,6 +177,7 @@
 {
     good += other.good;
     failed += other.failed;
+    expectedFailed += other.expectedFailed;
     return *this;
 }
 
@@ -181,6 +187,8 @@
 
 bool LoadedAnswers::isCertain() const { return failed >= CERTAIN_FAILED; }
 
+bool LoadedAnswers::isSuspect() const { return failed >= LEAST_FAILED && failed > SUSPECT_FACTOR * expectedFailed; }
+
 void VersionJudge::fillReport(fleet::HostReport& report) const
 {
     for (const auto& [route, counts] : m_own) {
--- a/src/rollout/tests/rollout_test.cpp
+++ b/src/rollout/tests/rollout_test.cpp
@@ -463,6 +463,50 @@
     cr_assert_lt(service.onNewCount, 0.15 * service.count + 30, "%d of %d", service.onNewCount, service.count);
 }
 
+namespace {
+
+// One host's board at the end of a proof under load, with this many answers of the new version under load and as many
+// of the old one, of which a share failed.
+Stage stageAfterProof(int good, int failed, int oldFailedInHundred)
+{
+    RolloutBoard it;
+    it.onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, START);
+    it.onCapacity(SERVICE, EQUAL);
+    const auto answer = [&](const SoftwareVersion& version, int n, bool fails) {
+        it.onAnswer({ .service = SERVICE,
+                        .route = ROUTE,
+                        .version = version,
+                        .upstream = UpstreamId("u"),
+                        .failed = fails,
+                        .time = quality::TimeSample {},
+                        .load = 0.55 },
+            START + Duration(n));
+    };
+    for (int n = 0; n < 400; ++n)
+        answer(OLD, n, oldFailedInHundred > 0 && n % (100 / oldFailedInHundred) == 0);
+    for (int n = 0; n < good + failed; ++n)
+        answer(NEW, n, n % ((good + failed) / std::max(1, failed)) == 0 && failed > 0);
+    for (Duration age { 12'000 }; age < Duration(20'000); age += Duration(200))
+        it.tick(START + age);
+    return *it.stageOf(SERVICE, START + Duration(20'000));
+}
+
+}
+
+// Vitalkör, bad-version-during-burst, seed 60534991553: 3 of 31 answers under load had failed when the proof's time was
+// up, and all requests moved to the version.
+Test(rollout, aVersionThatFailedUnderLoadAndWasNotProvedInTimeIsTakenBack)
+{
+    cr_assert(stageAfterProof(28, 3, 0) == Stage::RolledBack);
+    cr_assert(stageAfterProof(31, 0, 0) == Stage::Replacing);
+}
+
+// A service of whose calls a tenth fails on every version.
+Test(rollout, failuresThatTheOldVersionHasTooDoNotSpeakAgainstTheNewOne)
+{
+    cr_assert(stageAfterProof(27, 3, 10) == Stage::Replacing);
+}
+
 Test(rollout, aVersionThatBearsTheLoadReplacesTheOldOne)
 {
     Deployment it(LoadedService::HOSTS);
