Operator reads wait no longer than a part of the revocation bound; a lost store makes a follower read at once; tests of a whole host

A failed read of the store hurries the feed towards another host that knows more. Tests of a whole entry host over an in-memory store; each HTTP test listens on a loopback address of its own.

--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -1,12 +1,17 @@
-#include "fireflyhaven/telemetry/logevent.h"
 #include "catalogsync.h"
 
+#include "fireflyhaven/telemetry/logevent.h"
+
+#include <algorithm>
+
 namespace fireflyhaven::entry {
 
 namespace {
 
-// A read of the operator's records may wait this long for news.
+// A read of the operator's records may wait this long for news, and no longer than this part of the bound for keys that
+// were taken away: what it shows is as old as its beginning.
 constexpr Duration OPERATOR_WAIT { 700 };
+constexpr int REVOCATION_PARTS = 6;
 constexpr Duration UPSTREAM_INTERVAL { 700 };
 constexpr Duration STATUS_INTERVAL { 3000 };
 // A read from another host may wait this long for news.
@@ -87,11 +92,12 @@
 
 store::FeedOptions CatalogSync::optionsFor(const Feed& feed, bool fromStore) const
 {
+    const Duration longestWait = m_parts.settings.bounds.revocation / REVOCATION_PARTS;
     if (!fromStore)
-        return { .interval = Duration(0), .wait = RELAY_WAIT };
+        return { .interval = Duration(0), .wait = std::min(RELAY_WAIT, longestWait) };
     switch (feed.topic) {
     case store::Topic::Operator:
-        return { .interval = Duration(0), .wait = OPERATOR_WAIT };
+        return { .interval = Duration(0), .wait = std::min(OPERATOR_WAIT, longestWait) };
     case store::Topic::Upstreams:
         return { .interval = UPSTREAM_INTERVAL };
     default:
@@ -184,6 +190,10 @@
         return;
     }
     m_choice.onStoreRead(false, now);
+    // Another host may know what this one just failed to read.
+    const fleet::HostTable* hosts = m_parts.hosts();
+    if (hosts && m_choice.source(*hosts, now))
+        feed.state.hurry(now);
     if (!std::exchange(m_storeLost, true))
         telemetry::logEvent(
             spdlog::level::warn, "store_lost", { { "topic", topicText(feed.topic) }, { "reason", reason } });
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -1,6 +1,6 @@
-#include "fireflyhaven/telemetry/logevent.h"
 #include "fireflyhaven/entry/entryhost.h"
 
+#include "fireflyhaven/telemetry/logevent.h"
 #include "catalogsync.h"
 #include "conductor.h"
 #include "decisionlog.h"
--- a/src/entry/internal/fleetlink.cpp
+++ b/src/entry/internal/fleetlink.cpp
@@ -1,6 +1,7 @@
-#include "fireflyhaven/telemetry/logevent.h"
 #include "fleetlink.h"
 
+#include "fireflyhaven/telemetry/logevent.h"
+
 namespace fireflyhaven::entry {
 
 namespace {
--- a/src/http/tests/eventclient_test.cpp
+++ b/src/http/tests/eventclient_test.cpp
@@ -47,9 +47,9 @@
 public:
     ClientUnderTest()
         : client(EventClient::create(loop.io(), loop.clock()))
-        , m_acceptor(loop.io(), { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        , m_acceptor(loop.io(), { boost::asio::ip::make_address(test::ownIp()), 0 })
     {
-        address = { .ip = "127.0.0.1", .port = m_acceptor.local_endpoint().port() };
+        address = { .ip = test::ownIp(), .port = m_acceptor.local_endpoint().port() };
         accept();
     }
 
@@ -129,10 +129,7 @@
 Test(event_client, a_refused_connection_has_sent_nothing)
 {
     ClientUnderTest it;
-    // A port that was free a moment ago.
-    test::Tcp::acceptor probe(it.loop.io(), { boost::asio::ip::make_address("127.0.0.1"), 0 });
-    it.address.port = probe.local_endpoint().port();
-    probe.close();
+    it.address = it.loop.freeEndpoint(test::ownIp());
     RecordedAnswer answer;
     const auto call = it.start(answer);
     it.loop.runUntil([&] { return answer.isOver(); }, "the call is over");
--- a/src/http/tests/eventserver_test.cpp
+++ b/src/http/tests/eventserver_test.cpp
@@ -29,10 +29,7 @@
 public:
     explicit ServerUnderTest(CallerLimits limits = {})
     {
-        // A port that was free a moment ago.
-        test::Tcp::acceptor probe(loop.io(), { boost::asio::ip::make_address("127.0.0.1"), 0 });
-        address = { .ip = "127.0.0.1", .port = probe.local_endpoint().port() };
-        probe.close();
+        address = loop.freeEndpoint(test::ownIp());
         const EventServerOptions options { .listen = address, .limits = limits };
         handleFailure(
             [&]() -> Result<int> {
@@ -206,7 +203,7 @@
     constexpr int RECEIVE_BYTES = 128 * 1024;
     test::Tcp::socket slow(it.loop.io(), test::Tcp::v4());
     slow.set_option(boost::asio::socket_base::receive_buffer_size(RECEIVE_BYTES));
-    slow.connect({ boost::asio::ip::make_address("127.0.0.1"), it.address.port });
+    slow.connect({ boost::asio::ip::make_address(it.address.ip), it.address.port });
     boost::asio::write(slow, boost::asio::buffer("GET / HTTP/1.1\r\n" + HOST + "\r\n"));
     Exchange& exchange = it.awaitExchange();
     CallerWatch watch;
--- a/src/http/tests/loopfixture.h
+++ b/src/http/tests/loopfixture.h
@@ -8,6 +8,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <unistd.h>
+
 #include <array>
 #include <string>
 
@@ -18,6 +20,15 @@
 
 using Tcp = boost::asio::ip::tcp;
 
+// A loopback address that no other test process uses; tests run as processes of their own, several at a time.
+inline std::string ownIp(int host = 1)
+{
+    constexpr int PARTS = 250;
+    const int pid = static_cast<int>(getpid());
+    return "127." + std::to_string(1 + pid / PARTS % PARTS) + "." + std::to_string(1 + pid % PARTS) + "."
+        + std::to_string(host);
+}
+
 class Loop {
 public:
     // Runs the loop until the condition holds; the test fails where that takes more than some seconds.
@@ -39,6 +50,12 @@
             m_io.run_one_for(std::chrono::milliseconds(2));
         }
     }
+    // Nobody listens there, and nobody else is going to.
+    Endpoint freeEndpoint(const std::string& ip)
+    {
+        Tcp::acceptor probe(m_io, { boost::asio::ip::make_address(ip), 0 });
+        return { .ip = ip, .port = probe.local_endpoint().port() };
+    }
     boost::asio::io_context& io() { return m_io; }
     const SystemClock& clock() const { return m_clock; }
 
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -1,6 +1,6 @@
-#include "fireflyhaven/telemetry/logevent.h"
 #include "fireflyhaven/rollout/rolloutboard.h"
 
+#include "fireflyhaven/telemetry/logevent.h"
 #include "fireflyhaven/common/hash.h"
 
 #include <algorithm>
--- /dev/null
+++ b/tests/entry/entryhost_test.cpp
@@ -0,0 +1,362 @@
+#include "fireflyhaven/entry/entryhost.h"
+
+#include "../../src/http/tests/loopfixture.h"
+#include "fireflyhaven/http/eventserver.h"
+#include "fireflyhaven/http/types/status.h"
+#include "fireflyhaven/telemetry/boundedsink.h"
+#include "fireflyhaven/telemetry/jsonformatter.h"
+#include "memorystore.h"
+#include "platform/wirecodec.h"
+
+#include <fcntl.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <array>
+#include <memory>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+// Entry hosts with real sockets in one process, before an upstream and a store in memory.
+using namespace fireflyhaven;
+using fireflyhaven::http::test::Loop;
+using fireflyhaven::http::test::RawPeer;
+using fireflyhaven::test::MemoryStore;
+using fireflyhaven::test::SharedRecords;
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration REVOCATION { 1200 };
+
+json configuration(int version, bool withSecondRoute = false)
+{
+    json routes = json::array();
+    const auto add = [&](const std::string& name, const std::string& prefix, bool anonymous) {
+        routes.push_back({ { "name", name }, { "host", "h" }, { "path_prefix", prefix }, { "type", "idempotent" },
+            { "timeout_ms", 5000 }, { "max_attempts", 2 }, { "anonymous", anonymous }, { "service", "s" } });
+    };
+    add("keyed", "/keyed/", false);
+    add("open", "/open/", true);
+    if (withSecondRoute)
+        add("later", "/later/", true);
+    return { { "version", version }, { "routes", routes },
+        { "services", { { { "name", "s" }, { "max_connections", 50 } } } },
+        { "tenants", { { { "name", "w" }, { "api_keys", { "secret" } } } } } };
+}
+
+struct Host {
+    std::unique_ptr<MemoryStore> store;
+    entry::EntrySettings settings;
+    std::unique_ptr<entry::EntryHost> host;
+};
+
+class Deployment {
+public:
+    explicit Deployment(std::size_t hosts)
+    {
+        startUpstream();
+        put(store::Topic::Upstreams, "u-1",
+            { { "service", "s" }, { "address", m_upstreamAddress.text() }, { "zone", "a" }, { "version", "v1" },
+                { "batch_slots", 8 }, { "phase", "ready" }, { "warmup_left_ms", 0 } });
+        for (std::size_t n = 0; n < hosts; ++n)
+            startHost(n);
+    }
+
+    void put(store::Topic topic, const std::string& key, const json& value)
+    {
+        m_records.topics[topic].push_back({ .key = key, .value = value.dump() });
+    }
+    void configure(int version, bool withSecondRoute = false)
+    {
+        put(store::Topic::Operator, "config", configuration(version, withSecondRoute));
+    }
+
+    // The answer to one call, as received.
+    std::string call(const http::Endpoint& address, const std::string& target, const std::string& headers = {})
+    {
+        RawPeer caller(loop, address);
+        caller.send("GET " + target + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + nextId() + "\r\nConnection: close\r\n"
+            + headers + "\r\n");
+        caller.awaitEnd();
+        return caller.received();
+    }
+    std::string request(std::size_t host, const std::string& target, const std::string& headers = {})
+    {
+        return call(hosts[host].settings.frontend, target, headers);
+    }
+    bool isReady(std::size_t host)
+    {
+        return call(hosts[host].settings.readiness, "/fireflyhaven/readyz").starts_with("HTTP/1.1 200 ");
+    }
+    std::vector<std::string> addresses(std::size_t host)
+    {
+        const std::string answer = call(hosts[host].settings.directory, "/fireflyhaven/resolve?name=h&region=r&zone=a");
+        return json::parse(answer.substr(answer.find("\r\n\r\n") + 4))["addresses"].get<std::vector<std::string>>();
+    }
+    // Calls again until the condition holds for the answer.
+    template <typename Condition> void await(Condition condition, const char* what)
+    {
+        constexpr Duration LIMIT { 10'000 };
+        const TimePoint end = loop.clock().now() + LIMIT;
+        while (!condition()) {
+            cr_assert(loop.clock().now() < end, "waited in vain until %s", what);
+            loop.settle();
+        }
+    }
+
+    Loop loop;
+    std::vector<Host> hosts;
+    // Requests as the upstream got them.
+    std::vector<http::RequestHead> received;
+    // Exchanges that the upstream has not answered; filled while `holdBack` is set.
+    std::vector<std::shared_ptr<http::Exchange>> held;
+    bool holdBack = false;
+
+    void answer(http::Exchange& exchange)
+    {
+        http::ResponseHead head { .status = STATUS_OK };
+        head.headers.add("X-Server-Seal", "seal");
+        head.headers.add("X-Attempt-Id", *exchange.head().headers.find("X-Attempt-Id"));
+        exchange.answer(head, "from upstream");
+    }
+
+private:
+    std::string nextId() { return "attempt-" + std::to_string(++m_lastId); }
+
+    void startUpstream()
+    {
+        m_upstreamAddress = loop.freeEndpoint(http::test::ownIp());
+        const auto onRequest = [this](std::shared_ptr<http::Exchange> exchange) {
+            received.push_back(exchange->head());
+            if (holdBack)
+                held.push_back(std::move(exchange));
+            else
+                answer(*exchange);
+        };
+        handleFailure(
+            [&]() -> Result<int> {
+                BOOST_LEAF_ASSIGN(m_upstream,
+                    http::EventServer::start(loop.io(), loop.clock(), { .listen = m_upstreamAddress }, onRequest));
+                return 0;
+            },
+            [](const Failure& it) {
+                cr_assert(false, "%s", it.message.c_str());
+                return 1;
+            });
+    }
+
+    void startHost(std::size_t n)
+    {
+        const std::string ip = http::test::ownIp(static_cast<int>(11 + n));
+        Host it;
+        it.store = std::make_unique<MemoryStore>(loop.io(), m_records);
+        it.settings = { .host = HostId("host-" + std::to_string(n)),
+            .dataCentre = DataCentreId("a"),
+            .region = RegionId("r"),
+            .frontend = loop.freeEndpoint(ip),
+            .readiness = loop.freeEndpoint(ip),
+            .directory = loop.freeEndpoint(ip),
+            .metrics = loop.freeEndpoint(ip) };
+        // Hosts expect each other at the same port.
+        if (m_peerPort == 0)
+            m_peerPort = loop.freeEndpoint(ip).port;
+        it.settings.firstPeerPort = m_peerPort;
+        it.settings.lastPeerPort = m_peerPort;
+        it.settings.bounds.revocation = REVOCATION;
+        handleFailure(
+            [&]() -> Result<int> {
+                BOOST_LEAF_ASSIGN(
+                    it.host, entry::EntryHost::start(loop.io(), loop.clock(), m_codec, *it.store, it.settings));
+                return 0;
+            },
+            [](const Failure& failure) {
+                cr_assert(false, "%s", failure.message.c_str());
+                return 1;
+            });
+        hosts.push_back(std::move(it));
+    }
+
+    SharedRecords m_records;
+    const platform::WireCodec m_codec;
+    http::Endpoint m_upstreamAddress;
+    std::unique_ptr<http::EventServer> m_upstream;
+    std::uint16_t m_peerPort = 0;
+    int m_lastId = 0;
+};
+
+const std::string KEY = "Authorization: Token secret\r\n";
+
+bool isStatus(const std::string& answer, int status)
+{
+    return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
+}
+
+}
+
+Test(entry_host, a_request_is_sent_to_its_upstream_and_the_answer_passed_back)
+{
+    Deployment it(1);
+    it.configure(3);
+    it.await([&] { return it.isReady(0); }, "the host is ready");
+    const std::string answer = it.request(0, "/open/x?y=%20z");
+    cr_assert(isStatus(answer, 200) && answer.ends_with("from upstream"));
+    cr_assert(it.received.size() == 1 && it.received.front().target == "/open/x?y=%20z");
+    cr_assert(*it.received.front().headers.find("X-Expect-Instance") == "u-1");
+}
+
+Test(entry_host, without_a_configuration_nothing_is_served)
+{
+    Deployment it(1);
+    cr_assert_not(it.isReady(0));
+    cr_assert(isStatus(it.request(0, "/open/x"), 503));
+    cr_assert(it.received.empty());
+}
+
+Test(entry_host, unknown_routes_and_keys_are_rejected)
+{
+    Deployment it(1);
+    it.configure(3);
+    it.await([&] { return it.isReady(0); }, "the host is ready");
+    cr_assert(isStatus(it.request(0, "/nowhere/x"), 404));
+    cr_assert(isStatus(it.request(0, "/keyed/x"), 401));
+    cr_assert(isStatus(it.request(0, "/keyed/x", "Authorization: Token other\r\n"), 401));
+    cr_assert(isStatus(it.request(0, "/keyed/x", KEY), 200));
+    cr_assert(it.received.size() == 1);
+}
+
+// Pattern: a host that is cut off from the store, with its keys. What was taken away in the meantime must not open.
+Test(entry_host, cut_off_from_the_store_keys_lapse_and_open_routes_go_on)
+{
+    Deployment it(1);
+    it.configure(3);
+    it.await([&] { return it.isReady(0); }, "the host is ready");
+    cr_assert(isStatus(it.request(0, "/keyed/x", KEY), 200));
+    it.hosts[0].store->reachable = false;
+    const TimePoint cut = it.loop.clock().now();
+    it.await([&] { return isStatus(it.request(0, "/keyed/x", KEY), 503); }, "keys have lapsed");
+    cr_assert_lt(it.loop.clock().now() - cut, REVOCATION + Duration(300));
+    const std::size_t before = it.received.size();
+    cr_assert(isStatus(it.request(0, "/open/x"), 200));
+    cr_assert(isStatus(it.request(0, "/keyed/x", KEY), 503));
+    cr_assert(it.received.size() == before + 1);
+    it.hosts[0].store->reachable = true;
+    it.await([&] { return isStatus(it.request(0, "/keyed/x", KEY), 200); }, "keys hold again");
+}
+
+// Pattern: one host of several reaches the store; the others follow it.
+Test(entry_host, a_host_that_is_cut_off_from_the_store_follows_another_one)
+{
+    Deployment it(3);
+    it.configure(3);
+    for (std::size_t n = 0; n < it.hosts.size(); ++n)
+        it.await([&] { return it.addresses(n).size() == it.hosts.size(); }, "all hosts know of each other");
+    it.hosts[0].store->reachable = false;
+    it.hosts[1].store->reachable = false;
+    it.configure(4, true);
+    for (std::size_t n = 0; n < it.hosts.size(); ++n)
+        it.await([&] { return isStatus(it.request(n, "/later/x"), 200); }, "the new route is served");
+    const TimePoint now = it.loop.clock().now();
+    it.await([&] { return it.loop.clock().now() - now > 2 * REVOCATION; }, "the bound has passed");
+    for (std::size_t n = 0; n < it.hosts.size(); ++n)
+        cr_assert(isStatus(it.request(n, "/keyed/x", KEY), 200), "host %zu", n);
+}
+
+// Calls to the store must not grow with the hosts: those that follow another one make hardly any.
+Test(entry_host, one_host_reads_the_store_for_all)
+{
+    Deployment it(3);
+    it.configure(3);
+    for (std::size_t n = 0; n < it.hosts.size(); ++n)
+        it.await([&] { return it.addresses(n).size() == it.hosts.size(); }, "all hosts know of each other");
+    constexpr Duration SPELL { 3000 };
+    std::vector<std::uint64_t> before;
+    for (const Host& host : it.hosts)
+        before.push_back(host.store->calls());
+    const TimePoint began = it.loop.clock().now();
+    it.await([&] { return it.loop.clock().now() - began > SPELL; }, "some time has passed");
+    int readers = 0;
+    for (std::size_t n = 0; n < it.hosts.size(); ++n)
+        readers += it.hosts[n].store->calls() - before[n] > 4 ? 1 : 0;
+    cr_assert(readers == 1, "%d hosts read", readers);
+}
+
+Test(entry_host, a_host_that_stops_answers_what_it_took_and_leaves_the_addresses)
+{
+    Deployment it(2);
+    it.configure(3);
+    for (std::size_t n = 0; n < 2; ++n)
+        it.await([&] { return it.addresses(n).size() == 2; }, "both hosts know of each other");
+    it.holdBack = true;
+    RawPeer caller(it.loop, it.hosts[0].settings.frontend);
+    caller.send("GET /open/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: held\r\n\r\n");
+    it.loop.runUntil([&] { return !it.held.empty(); }, "the upstream has the request");
+    bool stopped = false;
+    it.hosts[0].host->shutDown([&] { stopped = true; });
+    cr_assert_not(it.isReady(0));
+    it.await([&] { return it.addresses(1) == std::vector { it.hosts[1].settings.frontend.text() }; }, "it has left");
+    cr_assert_not(stopped);
+    it.answer(*it.held.front());
+    caller.awaitEnd();
+    cr_assert(isStatus(caller.received(), 200) && caller.received().ends_with("from upstream"));
+    it.await([&] { return stopped; }, "the host has stopped");
+}
+
+Test(entry_host, metrics_and_state_are_served)
+{
+    Deployment it(1);
+    it.configure(3);
+    it.await([&] { return it.isReady(0); }, "the host is ready");
+    it.request(0, "/open/x");
+    it.request(0, "/nowhere/x");
+    const std::string metrics = it.call(*it.hosts[0].settings.metrics, "/metrics");
+    for (const std::string line : { "fireflyhaven_requests_total{route=\"open\",outcome=\"answered\"} 1",
+             "fireflyhaven_requests_total{route=\"none\",outcome=\"rejected\"} 1",
+             "fireflyhaven_configuration_version 3", "fireflyhaven_upstreams 1", "fireflyhaven_store_reachable 1" })
+        cr_assert(metrics.find("\n" + line + "\n") != std::string::npos, "%s", line.c_str());
+    const std::string answer = it.call(*it.hosts[0].settings.metrics, "/state");
+    const json state = json::parse(answer.substr(answer.find("\r\n\r\n") + 4));
+    cr_assert(state["configuration"] == 3 && state["upstreams"][0]["upstream"] == "u-1");
+    cr_assert(isStatus(it.call(*it.hosts[0].settings.metrics, "/"), 404));
+}
+
+Test(entry_host, reloaded_bounds_are_in_force)
+{
+    Deployment it(1);
+    it.configure(3);
+    it.await([&] { return it.isReady(0); }, "the host is ready");
+    it.hosts[0].store->reachable = false;
+    it.await([&] { return isStatus(it.request(0, "/keyed/x", KEY), 503); }, "keys have lapsed");
+    entry::EntrySettings settings = it.hosts[0].settings;
+    settings.bounds.revocation = Duration(60'000);
+    it.hosts[0].host->reload(settings);
+    cr_assert(isStatus(it.request(0, "/keyed/x", KEY), 200));
+}
+
+// Pattern: the reader of standard output stops. No request may wait for it.
+Test(entry_host, a_full_pipe_delays_no_request)
+{
+    std::array<int, 2> ends {};
+    cr_assert(pipe(ends.data()) == 0);
+    auto sink = std::make_shared<telemetry::BoundedSink>(
+        telemetry::BoundedSinkOptions { .descriptor = ends[1], .maxBufferedBytes = 8 * 1024 });
+    auto logger = std::make_shared<spdlog::logger>("full", sink);
+    logger->set_formatter(telemetry::makeJsonFormatter());
+    spdlog::set_default_logger(logger);
+    Deployment it(1);
+    it.configure(3);
+    it.await([&] { return it.isReady(0); }, "the host is ready");
+    while (sink->droppedLines() == 0)
+        spdlog::info("fills the pipe and the buffer");
+    const std::uint64_t dropped = sink->droppedLines();
+    constexpr Duration BOUND { 500 };
+    for (int n = 0; n < 20; ++n) {
+        const TimePoint began = it.loop.clock().now();
+        cr_assert(isStatus(it.request(0, "/open/x"), 200));
+        cr_assert_lt(it.loop.clock().now() - began, BOUND);
+    }
+    cr_assert_gt(sink->droppedLines(), dropped);
+}
--- /dev/null
+++ b/tests/entry/memorystore.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "fireflyhaven/store/recordstore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <list>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace fireflyhaven::test {
+
+// Records that all hosts of a test share.
+struct SharedRecords {
+    std::map<store::Topic, std::vector<store::KeyedRecord>> topics;
+};
+
+// One host's way to the shared records; may be cut.
+class MemoryStore final : public store::IRecordStore {
+public:
+    MemoryStore(boost::asio::io_context& loop, SharedRecords& shared)
+        : m_loop(loop)
+        , m_shared(shared)
+    {
+    }
+
+    void read(
+        store::Topic topic, std::uint64_t offset, Duration wait, store::OnOutcome<store::RecordBatch> done) override
+    {
+        ++m_calls;
+        answerRead(topic, offset, wait, std::move(done));
+    }
+
+    void readNewest(store::Topic topic, const std::string&, store::OnOutcome<store::SnapshotPage> done) override
+    {
+        ++m_calls;
+        boost::asio::post(m_loop, [this, topic, done = std::move(done)] {
+            if (!reachable)
+                return done(store::Outcome<store::SnapshotPage>::failed(store::StoreError::NotDone, "cut off"));
+            std::map<std::string, store::KeyedRecord> newest;
+            for (const store::KeyedRecord& it : m_shared.topics[topic])
+                newest[it.key] = it;
+            store::SnapshotPage page { .records = {}, .endOffset = m_shared.topics[topic].size() };
+            for (auto& [key, it] : newest) {
+                if (it.value)
+                    page.records.push_back(it);
+            }
+            done({ .value = std::move(page) });
+        });
+    }
+
+    void put(store::Topic topic, const store::KeyedRecord& record, const std::optional<store::Fence>&,
+        store::OnOutcome<std::uint64_t> done) override
+    {
+        ++m_calls;
+        boost::asio::post(m_loop, [this, topic, record, done = std::move(done)] {
+            if (!reachable)
+                return done(store::Outcome<std::uint64_t>::failed(store::StoreError::NotDone, "cut off"));
+            m_shared.topics[topic].push_back(record);
+            done({ .value = m_shared.topics[topic].size() - 1 });
+        });
+    }
+
+    std::uint64_t calls() const override { return m_calls; }
+
+    bool reachable = true;
+
+private:
+    static constexpr Duration POLL { 10 };
+
+    void answerRead(store::Topic topic, std::uint64_t offset, Duration wait, store::OnOutcome<store::RecordBatch> done)
+    {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop);
+        timer->expires_after(POLL);
+        timer->async_wait([this, timer, topic, offset, wait, done = std::move(done)](boost::system::error_code ec) {
+            if (ec)
+                return;
+            if (!reachable)
+                return done(store::Outcome<store::RecordBatch>::failed(store::StoreError::NotDone, "cut off"));
+            const auto& records = m_shared.topics[topic];
+            if (records.size() <= offset && wait > POLL)
+                return answerRead(topic, offset, wait - POLL, done);
+            store::RecordBatch batch { .records = {}, .nextOffset = std::max<std::uint64_t>(offset, records.size()) };
+            for (std::size_t n = offset; n < records.size(); ++n)
+                batch.records.push_back(records[n]);
+            done({ .value = std::move(batch) });
+        });
+    }
+
+    boost::asio::io_context& m_loop;
+    SharedRecords& m_shared;
+    std::uint64_t m_calls = 0;
+};
+
+}
