An upstream that says in an answer that it leaves gets nothing more; one that names a wait is left alone for so long

Cause: nothing in the code read the two headers; a leaving upstream kept getting requests until its registration changed. What no upstream wants before a request's deadline is refused at once.

With the call of takeNotices taken out, all five flow tests fail. balancing, entry and platform tests pass.

--- a/include/fireflyhaven/balancing/balancer.h
+++ b/include/fireflyhaven/balancing/balancer.h
@@ -4,6 +4,7 @@
 #include "fireflyhaven/balancing/latencymodel.h"
 #include "fireflyhaven/balancing/promptcache.h"
 #include "fireflyhaven/balancing/upstreamhealth.h"
+#include "fireflyhaven/balancing/upstreamnotices.h"
 #include "fireflyhaven/catalog/catalog.h"
 #include "fireflyhaven/fleet/peerload.h"
 
@@ -31,6 +32,8 @@
 struct Ticket {
     std::uint64_t number = 0;
     UpstreamId upstream;
+    // Start of the upstream's life that the send goes to, Unix milliseconds.
+    std::int64_t upstreamBornMs = 0;
     ServiceName service;
     catalog::ModelName model;
     std::uint32_t uncachedTokens = 0;
@@ -63,13 +66,17 @@
     // Picks an upstream and counts the send; no value where none may take the request now. `hosts` is the number of
     // hosts that may be sending to upstreams.
     std::optional<Ticket> send(const Demand& demand, int hosts, TimePoint now);
-    // Whether any upstream could serve the demand at all, were it not busy.
-    bool isServable(const Demand& demand, TimePoint now) const;
+    // Whether any upstream could serve the demand until `startBy`, were it not busy.
+    bool isServable(const Demand& demand, TimePoint startBy, TimePoint now) const;
     // What a send would meet at the best upstream now; no value where none may take the request.
     std::optional<Outlook> outlook(const Demand& demand, int hosts, TimePoint now);
 
     void onFirstToken(Ticket& ticket, TimePoint now);
     void onEnded(const Ticket& ticket, SendOutcome outcome, TimePoint now);
+    // The upstream of the send says that it leaves: this host sends it nothing more in this life.
+    void onLeaving(const Ticket& ticket, TimePoint now);
+    // The upstream of the send turned a request away and wants nothing for so long.
+    void onBackoff(const Ticket& ticket, Duration wait, TimePoint now);
     void onPeerAnswers(const std::vector<fleet::AnswerCounts>& answers, TimePoint now);
     // The upstream is gone, or has started anew.
     void forget(const UpstreamId& upstream);
@@ -133,6 +140,7 @@
     std::map<UpstreamId, Load> m_loads;
     std::map<std::pair<ServiceName, catalog::ModelName>, LatencyModel> m_latencies;
     std::map<ServiceName, ServiceHealth> m_serviceHealth;
+    UpstreamNotices m_notices;
     PromptCache m_cache;
     std::uint64_t m_nextTicket = 1;
     std::uint64_t m_random = 1;
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -91,6 +91,7 @@
     void sendAgain(std::string_view reason, TimePoint now);
     // Gives up an attempt without progress, where another one may follow.
     void onNoProgress(TimePoint now);
+    void takeNotices(TimePoint now);
     TimePoint nextEventBy(TimePoint now) const;
     bool mayTryAgain(bool ran, TimePoint now) const;
     // Asks a larger model where the answer's confidence is too low; true where it does.
--- a/include/fireflyhaven/entry/types/request.h
+++ b/include/fireflyhaven/entry/types/request.h
@@ -66,7 +66,10 @@
     std::optional<int> confidence;
     std::optional<LoadReport> load;
     std::optional<Duration> coldFor;
+    // The upstream wants no request for so long.
     std::optional<Duration> retryAfter;
+    // The upstream takes no new work, and ends soon.
+    bool isLeaving = false;
 };
 
 }
--- a/src/balancing/internal/balancer.cpp
+++ b/src/balancing/internal/balancer.cpp
@@ -39,17 +39,20 @@
 bool Balancer::fits(const catalog::UpstreamState& it, const Demand& demand, TimePoint now) const
 {
     const auto& upstream = it.upstream;
-    return upstream.service == demand.service && it.isReady(now) && !m_catalog.isEvacuated(upstream.dataCentre)
+    return upstream.service == demand.service && it.isReady(now) && !m_notices.isLeaving(upstream.id, upstream.bornMs)
+        && !m_catalog.isEvacuated(upstream.dataCentre)
         && (!demand.onlyUpstream || upstream.id == *demand.onlyUpstream)
         && (!demand.onlyVersion || upstream.version == *demand.onlyVersion)
         && std::find(demand.notVersions.begin(), demand.notVersions.end(), upstream.version) == demand.notVersions.end()
         && std::find(demand.excluded.begin(), demand.excluded.end(), upstream.id) == demand.excluded.end();
 }
 
-bool Balancer::isServable(const Demand& demand, TimePoint now) const
+bool Balancer::isServable(const Demand& demand, TimePoint startBy, TimePoint now) const
 {
-    return std::any_of(m_catalog.upstreams().begin(), m_catalog.upstreams().end(),
-        [&](const auto& entry) { return fits(entry.second, demand, now); });
+    return std::any_of(m_catalog.upstreams().begin(), m_catalog.upstreams().end(), [&](const auto& entry) {
+        const catalog::Upstream& upstream = entry.second.upstream;
+        return fits(entry.second, demand, now) && !m_notices.isBackedOff(upstream.id, upstream.bornMs, startBy);
+    });
 }
 
 double Balancer::warmupRate(const catalog::UpstreamState& it) const
@@ -60,6 +63,8 @@
 
 bool Balancer::mayTake(const catalog::UpstreamState& it, Load& load, int hosts, TimePoint now)
 {
+    if (m_notices.isBackedOff(it.upstream.id, it.upstream.bornMs, now))
+        return false;
     const catalog::Service* service = m_catalog.service(it.upstream.service);
     const int slots = it.upstream.slots;
     const int queue = std::max(1, static_cast<int>(m_options.queueShare * slots));
@@ -205,6 +210,7 @@
     Load& load = *option.load;
     Ticket ticket { .number = m_nextTicket++,
         .upstream = id,
+        .upstreamBornMs = option.upstream->upstream.bornMs,
         .service = demand.service,
         .model = demand.model,
         .uncachedTokens = option.uncachedTokens,
@@ -269,6 +275,16 @@
     load.health.onAnswers(good ? 1 : 0, good ? 0 : 1, service, now);
 }
 
+void Balancer::onLeaving(const Ticket& ticket, TimePoint now)
+{
+    m_notices.onLeaving(ticket.upstream, ticket.upstreamBornMs, now);
+}
+
+void Balancer::onBackoff(const Ticket& ticket, Duration wait, TimePoint now)
+{
+    m_notices.onBackoff(ticket.upstream, ticket.upstreamBornMs, now + wait, now);
+}
+
 void Balancer::onPeerAnswers(const std::vector<fleet::AnswerCounts>& answers, TimePoint now)
 {
     for (const fleet::AnswerCounts& it : answers) {
@@ -292,7 +308,11 @@
     m_cache.forget(upstream);
 }
 
-void Balancer::expire(TimePoint now) { m_cache.expire(now); }
+void Balancer::expire(TimePoint now)
+{
+    m_cache.expire(now);
+    m_notices.expire(now);
+}
 
 std::vector<fleet::UpstreamCounters> Balancer::counters(TimePoint now) const
 {
--- a/src/balancing/tests/balancing_test.cpp
+++ b/src/balancing/tests/balancing_test.cpp
@@ -264,9 +264,9 @@
     for (int n = 0; n < 10; ++n)
         cr_assert(it.balancer.send(demand, HOSTS, START).has_value());
     cr_assert_not(it.balancer.send(demand, HOSTS, START).has_value(), "slots and queue of both are taken");
-    cr_assert(it.balancer.isServable(demand, START));
+    cr_assert(it.balancer.isServable(demand, START, START));
     it.catalog.onEvacuation(DataCentreId("dc0"));
-    cr_assert_not(it.balancer.isServable(demand, START));
+    cr_assert_not(it.balancer.isServable(demand, START, START));
 }
 
 Test(balancer, staysOnTheVersionAskedFor)
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -131,7 +131,7 @@
 
 void RequestFlow::waitOrRefuse(TimePoint now)
 {
-    if (!m_context.balancer.isServable(m_target.demand(now), now))
+    if (!m_context.balancer.isServable(m_target.demand(now), m_deadline, now))
         return giveUp("no upstream in service", now);
     const admission::WaitingResult result = m_context.waiting.offer(waitingRequest(), now);
     if (result.refusedFor)
@@ -230,6 +230,7 @@
         return http::HeadVerdict::Accept;
     }
     m_facts = facts;
+    takeNotices(now);
     const bool success = isSuccess(facts.status);
     if (success) {
         m_mayHaveRun = true;
@@ -254,6 +255,15 @@
     return http::HeadVerdict::Accept;
 }
 
+// What the upstream asks for beside its answer.
+void RequestFlow::takeNotices(TimePoint now)
+{
+    if (m_facts.isLeaving)
+        m_context.balancer.onLeaving(*m_ticket, now);
+    if (m_facts.status == STATUS_UNAVAILABLE && m_facts.retryAfter)
+        m_context.balancer.onBackoff(*m_ticket, *m_facts.retryAfter, now);
+}
+
 TimePoint RequestFlow::nextEventBy(TimePoint now) const
 {
     const double gapMs = static_cast<double>(m_route->targetGap.count()) * m_context.options.gapFactor;
--- a/src/entry/internal/requesttarget.cpp
+++ b/src/entry/internal/requesttarget.cpp
@@ -79,10 +79,10 @@
     it.onlyVersion = wish.only;
     it.notVersions = wish.except;
     it.onlyUpstream = wish.upstream;
-    if (wish.upstream && !m_context.balancer.isServable(it, now))
+    if (wish.upstream && !m_context.balancer.isServable(it, TimePoint::max(), now))
         it.onlyUpstream.reset();
     // Where the version wished for has no upstream left, the other one is better than none.
-    if (wish.only && !m_context.balancer.isServable(it, now))
+    if (wish.only && !m_context.balancer.isServable(it, TimePoint::max(), now))
         it.onlyVersion.reset();
     return it;
 }
--- a/src/entry/tests/requestflow_test.cpp
+++ b/src/entry/tests/requestflow_test.cpp
@@ -407,3 +407,94 @@
     }
     cr_assert_float_eq(plain / 400.0, 0.7, 0.08);
 }
+
+namespace {
+
+// The deployment with one plain upstream only.
+void keepOnePlainUpstream(Deployment& it)
+{
+    it.catalog.onUpstreamGone(UpstreamId("p1"), std::nullopt);
+    it.catalog.onUpstreamGone(UpstreamId("p2"), std::nullopt);
+}
+
+AnswerFacts turnedAwayFor(Duration wait)
+{
+    AnswerFacts it = turnedAway();
+    it.retryAfter = wait;
+    return it;
+}
+
+}
+
+Test(notices, anUpstreamThatSaysInAnAnswerThatItLeavesGetsNothingMore)
+{
+    Deployment it;
+    keepOnePlainUpstream(it);
+    FlowUnderTest first(it, Deployment::request("/many/1"));
+    AnswerFacts leaving = good();
+    leaving.isLeaving = true;
+    first.answer(leaving);
+    cr_assert_eq(first.actions.headStatus, 200, "its answer is passed on");
+    FlowUnderTest second(it, Deployment::request("/many/1"));
+    cr_assert(second.actions.attempts.empty());
+    cr_assert_eq(second.actions.ownStatus, STATUS_UNAVAILABLE, "refused at once, nothing else serves it");
+}
+
+Test(notices, theHeadOfAStreamIsEnoughForLaterStreamsAndForItsOwnResumption)
+{
+    Deployment it;
+    FlowUnderTest first(it, Deployment::request("/stream/1"));
+    AnswerFacts leaving = stream();
+    leaving.isLeaving = true;
+    first.head(leaving);
+    first.events(1, 2);
+    const UpstreamId gone = first.actions.attempts.front().order.upstream;
+    for (int n = 0; n < 20; ++n) {
+        FlowUnderTest later(it, Deployment::request("/stream/1"));
+        cr_assert(later.actions.attempts.front().order.upstream != gone);
+    }
+    first.flow.onAttemptFailed(http::SendState::MaybeReceived, "reset", START + Duration(40));
+    cr_assert_eq(first.actions.attempts.size(), 2);
+    cr_assert(first.actions.attempts.back().order.upstream != gone);
+}
+
+Test(notices, aRequestThatWaitsIsNotSentToAnUpstreamThatLeavesMeanwhile)
+{
+    Deployment it;
+    keepOnePlainUpstream(it);
+    std::vector<std::unique_ptr<FlowUnderTest>> busy;
+    while (it.waiting.size() == 0)
+        busy.push_back(std::make_unique<FlowUnderTest>(it, Deployment::request("/many/1")));
+    AnswerFacts leaving = good();
+    leaving.isLeaving = true;
+    busy.front()->answer(leaving);
+    FlowUnderTest& waiting = *busy.back();
+    cr_assert(it.waiting.next(ServiceName("plain"), START + Duration(30)).has_value());
+    waiting.flow.onTurn(START + Duration(30));
+    cr_assert(waiting.actions.attempts.empty());
+}
+
+Test(notices, anUpstreamThatNamesAWaitIsLeftAloneForSoLong)
+{
+    Deployment it;
+    FlowUnderTest first(it, Deployment::request("/many/1"));
+    const UpstreamId busy = first.actions.attempts.front().order.upstream;
+    first.answer(turnedAwayFor(Duration(1500)));
+    cr_assert(first.actions.attempts.back().order.upstream != busy, "tried elsewhere");
+    for (int n = 0; n < 20; ++n) {
+        FlowUnderTest later(it, Deployment::request("/many/1"));
+        cr_assert(later.actions.attempts.front().order.upstream != busy);
+    }
+}
+
+Test(notices, whatNoUpstreamWantsBeforeTheDeadlineIsRefusedAtOnce)
+{
+    Deployment it;
+    keepOnePlainUpstream(it);
+    FlowUnderTest first(it, Deployment::request("/once/1"));
+    first.answer(turnedAwayFor(Duration(1500)));
+    FlowUnderTest later(it, Deployment::request("/once/1"));
+    cr_assert(later.actions.attempts.empty());
+    cr_assert_eq(later.actions.ownStatus, STATUS_UNAVAILABLE);
+    cr_assert(later.actions.retryAfter.has_value());
+}
