Exchange between hosts in two levels: work of a host no longer grows with their number

Cause: each of 295 hosts sent a report to each other one five times a second (1.2 MB/s a host), and each read the store for itself whenever its source's knowledge of the roll-out statuses was over 2.5 s old, which is usual at an interval of 3 s. Change: above 24 hosts each reports to two aggregators of its data centre (first by rank: takes callers, size, rendezvous hash), which add up, exchange sums between data centres and send each host the sums of all others; rosters with ages travel with them. Sums replace sums, so several aggregators may act at once. One reader of the store for all, one follower of it in each data centre, the others behind that one; a read held by its source counts as fresh as of its answer. Seeds first, the store's record of addresses only where they fail. Callers are sent to a quarter of a data centre's hosts.

--- a/apps/platformdaemon.cpp
+++ b/apps/platformdaemon.cpp
@@ -27,6 +27,7 @@
     std::string logLevel = "info";
     long metricsPort = 0;
     bool naivePolicy = false;
+    bool flatExchange = false;
     bool checkSettings = false;
 };
 
@@ -39,6 +40,8 @@
             setInteger(it.metricsPort, 0, 65535) },
         { "naive-policy", "", "Random upstream, always the largest model (baseline for measurements).",
             setFlag(it.naivePolicy) },
+        { "flat-exchange", "", "Each host reports to all others, however many (baseline for measurements).",
+            setFlag(it.flatExchange) },
         { "check-settings", "", "Checks all settings, names each fault and stops.", setFlag(it.checkSettings) },
     };
 }
@@ -48,6 +51,7 @@
 {
     BOOST_LEAF_AUTO(it, platform::parseSettings(text));
     it.naivePolicy = own.naivePolicy;
+    it.flatExchange = own.flatExchange;
     if (own.metricsPort == 0)
         return it;
     const auto port = static_cast<std::uint16_t>(own.metricsPort);
--- a/include/fireflyhaven/entry/types/settings.h
+++ b/include/fireflyhaven/entry/types/settings.h
@@ -6,6 +6,8 @@
 
 #include <map>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace fireflyhaven::entry {
 
@@ -48,6 +50,7 @@
 struct ResourceLimits {
     std::size_t memoryBytes = 256UL * 1024 * 1024;
     std::size_t descriptors = 1024;
+    std::uint16_t coreThousandths = 250;
 };
 
 struct StoreSettings {
@@ -78,6 +81,12 @@
     StoreSettings store;
     ResourceLimits limits;
     ServiceBounds bounds;
+    // Addresses of a few hosts that may know the others; they may be old.
+    std::vector<std::string> seedIps;
+    // The whole system starts for the first time.
+    bool firstStart = false;
+    // All hosts report to all others, however many they are: the baseline for measurements.
+    bool flatExchange = false;
     // Any ready upstream at random and always the largest model: the baseline for measurements.
     bool naivePolicy = false;
 };
--- a/include/fireflyhaven/fleet/types/hostreport.h
+++ b/include/fireflyhaven/fleet/types/hostreport.h
@@ -108,6 +108,8 @@
     std::uint32_t sequence = 0;
     http::Endpoint frontend;
     DataCentreId dataCentre;
+    // Thousandths of a core.
+    std::uint16_t capacity = 0;
     // Callers may be sent here.
     bool takesCallers = false;
     // This host's own calls to the store succeed.
@@ -125,7 +127,7 @@
 
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(host, life, sequence, frontend, dataCentre, takesCallers, reachesStore, upstreams, trials, oldTimes,
+        archive(host, life, sequence, frontend, dataCentre, capacity, takesCallers, reachesStore, upstreams, trials, oldTimes,
             rollouts, sessions, otherHosts);
     }
 };
--- a/include/fireflyhaven/rollout/rolloutboard.h
+++ b/include/fireflyhaven/rollout/rolloutboard.h
@@ -11,6 +11,8 @@
 struct RolloutOptions {
     // Share of the sessions that try a new version. Stays well under the share that a bad one may get.
     double trialShare = 0.11;
+    // The same where many hosts serve many sessions: fewer tell enough, and hosts have to agree on each of them.
+    double trialShareOfMany = 0.04;
     // Sessions at work when the order came stay where they are; so long passes until their list has gone round.
     Duration settling { 1000 };
     // A session is at work until this time after its last request ended.
@@ -88,6 +90,8 @@
 public:
     explicit RolloutBoard(RolloutOptions options = {});
     void setOptions(const RolloutOptions& options);
+    // Whether there are many hosts; holds for orders that follow.
+    void setManyHosts(bool many) { m_manyHosts = many; }
 
     void onOrder(const catalog::RolloutOrder& order, TimePoint now);
     void onWithdrawn(const ServiceName& service);
@@ -125,6 +129,7 @@
 
         catalog::RolloutOrder order;
         TimePoint learnedAt {};
+        double trialShare = 0;
         bool rejected = false;
         bool completed = false;
         std::optional<catalog::RolloutPhase> written;
@@ -142,7 +147,7 @@
     static Duration partOfOrder(const Rollout& it, double part);
     Stage stage(const Rollout& it, TimePoint now) const;
     // Share of the sessions that a stage gives to the new version.
-    double shareOf(Stage stage) const;
+    double shareOf(const Rollout& it, Stage stage) const;
     bool targetServes(const Rollout& it, std::uint64_t sessionHash, TimePoint now) const;
     bool mayProve(const Rollout& it, RequestWeight weight, TimePoint now) const;
     bool mayEndTrial(const Rollout& it, TimePoint now) const;
@@ -158,6 +163,7 @@
     std::optional<catalog::SoftwareVersion> unexplainedVersion(const ServiceName& service, TimePoint now) const;
 
     RolloutOptions m_options;
+    bool m_manyHosts = false;
     std::map<ServiceName, Rollout> m_rollouts;
     // When each version of a service was first seen.
     std::map<ServiceName, std::map<catalog::SoftwareVersion, TimePoint>> m_versions;
--- a/include/fireflyhaven/store/types/records.h
+++ b/include/fireflyhaven/store/types/records.h
@@ -35,6 +35,8 @@
     std::uint64_t nextOffset = 0;
     // How old the knowledge of the source was that answered; zero for the store itself.
     Duration sourceAge {};
+    // How long the source held the request before it answered, at least; zero where it did not tell.
+    Duration heldFor {};
 };
 
 // One page of the newest records of all keys.
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -16,8 +16,14 @@
 constexpr Duration STATUS_INTERVAL { 3000 };
 // A read from another host may wait this long for news.
 constexpr Duration RELAY_WAIT { 600 };
-// What another host knew longer ago is read from the store instead.
+// Longer where many hosts read from one.
+constexpr Duration RELAY_WAIT_OF_MANY { 1200 };
+// Interval of looks for another host to read from, while this one starts.
+constexpr Duration START_LOOK { 50 };
+// What another host knew longer ago is read from the store instead,
 constexpr Duration OLDEST_RELAYED { 2500 };
+// and statuses, which are read seldom, where it was this long ago.
+constexpr Duration OLDEST_RELAYED_STATUS { 9000 };
 // Reads that failed for this long may have been the store's outage, in which registrations lapse.
 constexpr Duration OUTAGE { 1000 };
 // Upstreams that live are registered again within this time after an outage.
@@ -28,6 +34,11 @@
 };
 template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
+Duration oldestRelayed(store::Topic topic)
+{
+    return topic == store::Topic::Status ? OLDEST_RELAYED_STATUS : OLDEST_RELAYED;
+}
+
 const char* topicText(store::Topic topic)
 {
     switch (topic) {
@@ -67,6 +78,8 @@
 
 void CatalogSync::start()
 {
+    if (!m_parts.settings.seedIps.empty())
+        m_choice.onStart(m_parts.settings.firstStart, m_parts.clock.now());
     drive(m_statuses);
     drive(m_operator);
     drive(m_upstreams);
@@ -93,8 +106,12 @@
 store::FeedOptions CatalogSync::optionsFor(const Feed& feed, bool fromStore) const
 {
     const Duration longestWait = m_parts.settings.bounds.revocation / REVOCATION_PARTS;
-    if (!fromStore)
-        return { .interval = Duration(0), .wait = std::min(RELAY_WAIT, longestWait) };
+    if (!fromStore) {
+        const bool many = m_parts.hosts()->isLayered();
+        const Duration wait = many ? RELAY_WAIT_OF_MANY : RELAY_WAIT;
+        const bool ages = feed.topic == store::Topic::Operator;
+        return { .interval = Duration(0), .wait = ages ? std::min(wait, longestWait) : wait };
+    }
     switch (feed.topic) {
     case store::Topic::Operator:
         return { .interval = Duration(0), .wait = std::min(OPERATOR_WAIT, longestWait) };
@@ -110,13 +127,20 @@
     const TimePoint now = m_parts.clock.now();
     const fleet::HostTable* hosts = m_parts.hosts();
     const auto source = hosts ? m_choice.source(*hosts, now) : std::nullopt;
+    if (!source && hosts && m_choice.mustWait(*hosts, now))
+        return driveAfter(feed, START_LOOK);
     feed.state.setOptions(optionsFor(feed, !source));
     if (const auto due = feed.state.poll(now))
         return request(feed, *due, source);
     const auto next = feed.state.nextPoll();
     if (!next)
         return;
-    feed.timer.expires_after(*next - now);
+    driveAfter(feed, *next - now);
+}
+
+void CatalogSync::driveAfter(Feed& feed, Duration delay)
+{
+    feed.timer.expires_after(delay);
     feed.timer.async_wait([this, alive = m_alive, &feed](boost::system::error_code ec) {
         if (!ec && *alive)
             drive(feed);
@@ -128,7 +152,7 @@
     const bool fromStore = !source;
     const auto finish = [this, &feed, fromStore](const auto& outcome, auto&& onValue) {
         const TimePoint now = m_parts.clock.now();
-        const bool tooOld = outcome.value && outcome.value->sourceAge > OLDEST_RELAYED;
+        const bool tooOld = outcome.value && outcome.value->sourceAge > oldestRelayed(feed.topic);
         if (!outcome.value || tooOld)
             onFailed(feed, fromStore, outcome.value ? store::StoreError::NotDone : outcome.error,
                 tooOld ? "the other host's knowledge is old" : outcome.reason);
@@ -186,7 +210,8 @@
         telemetry::logEvent(
             spdlog::level::info, "relay_lost", { { "topic", topicText(feed.topic) }, { "reason", reason } });
         m_choice.onPeerFailed(now);
-        feed.state.hurry(now);
+        if (m_choice.readsOwn(now))
+            feed.state.hurry(now);
         return;
     }
     m_choice.onStoreRead(false, now);
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -67,6 +67,7 @@
     };
 
     void drive(Feed& feed);
+    void driveAfter(Feed& feed, Duration delay);
     store::FeedOptions optionsFor(const Feed& feed, bool fromStore) const;
     void request(Feed& feed, const store::FeedRequest& request, const std::optional<HostId>& source);
     void onFailed(Feed& feed, bool fromStore, store::StoreError error, const std::string& reason);
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -9,6 +9,7 @@
 #include "fireflyhaven/http/types/status.h"
 #include "fleetlink.h"
 #include "frontdoor.h"
+#include "namedhosts.h"
 #include "statuspages.h"
 
 #include <spdlog/spdlog.h>
@@ -50,7 +51,7 @@
 
 rollout::RolloutOptions rolloutOptions(const ServiceBounds& bounds) { return { .session = bounds.session }; }
 
-class AsioEntryHost final : public EntryHost, public IHostView, public ICatalogListener, public IReportPart {
+class AsioEntryHost final : public EntryHost, public IHostView, public ICatalogListener, public fleet::IReportPart {
 public:
     AsioEntryHost(boost::asio::io_context& loop, const IClock& clock, const IWireCodec& codec,
         store::IRecordStore& store, EntrySettings settings)
@@ -76,6 +77,7 @@
               .hosts = [this] { return &m_link.hosts(); },
               .listener = *this })
         , m_link(loop, clock, m_settings, store, *this)
+        , m_named(m_settings.frontend)
         , m_conductor({ .clock = clock,
               .codec = codec,
               .store = store,
@@ -177,7 +179,7 @@
         const auto confirmed = m_sync.operatorConfirmedAt();
         return confirmed ? now - *confirmed : Duration(-1);
     }
-    int sharers(TimePoint now) const override { return m_link.hosts().sharers(now); }
+    int sharers(TimePoint now) const override { return m_link.exchange().sharers(now); }
     bool takesRequests(catalog::RouteKind kind, TimePoint now) const override
     {
         if (!m_drainingSince)
@@ -199,6 +201,7 @@
         telemetry::logEvent(spdlog::level::info, "rollout_ordered",
             { { "service", order.service.value() }, { "version", order.target.value() },
                 { "duration_ms", order.duration.count() } });
+        m_rollouts.setManyHosts(m_link.hosts().isLayered());
         m_rollouts.onOrder(order, m_clock.now());
         m_link.reportNow();
     }
@@ -277,6 +280,11 @@
     // Hosts that take callers, those in the caller's data centre first; all that live where none does.
     std::vector<http::Endpoint> addressesFor(const AddressQuestion& question) const
     {
+        if (m_link.hosts().isLayered()) {
+            const auto few = m_named.choose(m_link.hosts(), question.dataCentre, m_clock.now());
+            if (!few.empty())
+                return few;
+        }
         std::vector<http::Endpoint> near;
         std::vector<http::Endpoint> far;
         const auto add = [&](const DataCentreId& dataCentre, const http::Endpoint& address) {
@@ -320,6 +328,10 @@
     {
         if (!m_sync.reachesStore())
             return false;
+        if (m_link.hosts().isLayered()) {
+            const std::vector<HostId> readers = m_link.hosts().storeReaders(now);
+            return !readers.empty() && fleet::firstByRendezvous(readers, "writer of roll-outs") == m_settings.host;
+        }
         std::vector<HostId> candidates { m_settings.host };
         for (const fleet::KnownHost* it : m_link.hosts().live(now)) {
             if (it->report.reachesStore && it->report.takesCallers)
@@ -375,6 +387,7 @@
     DecisionLog m_log;
     CatalogSync m_sync;
     FleetLink m_link;
+    NamedHosts m_named;
     Conductor m_conductor;
     FlowContext m_flows;
     DriverContext m_drivers;
--- a/src/entry/internal/fleetlink.cpp
+++ b/src/entry/internal/fleetlink.cpp
@@ -1,7 +1,10 @@
 #include "fleetlink.h"
 
+#include "fireflyhaven/common/hash.h"
 #include "fireflyhaven/telemetry/logevent.h"
 
+#include <algorithm>
+
 namespace fireflyhaven::entry {
 
 namespace {
@@ -10,26 +13,52 @@
 using Udp = asio::ip::udp;
 
 constexpr Duration REPORT_INTERVAL { 200 };
-// Each so many reports one tells all that holds, for hosts that missed an earlier one.
-constexpr std::uint32_t REPORTS_PER_FULL_ONE = 10;
+// Hosts that start find the others through the seeds, and ask the store where that fails.
+constexpr Duration RECORD_DELAY { 1000 };
+constexpr Duration RECORD_DELAY_AT_FIRST_START { 3000 };
+constexpr Duration RECORD_CHECK { 1000 };
 constexpr Duration STORE_RETRY { 1000 };
 // Reads of all hosts' records beyond the first: they find hosts that were cut off for long.
 constexpr Duration HOSTS_INTERVAL { 20'000 };
-constexpr std::size_t NAMED_HOSTS = 2;
+// Host names in one log line.
+constexpr std::size_t MOST_LOGGED = 8;
+
+fleet::ExchangeOptions exchangeOptions(const EntrySettings& settings, const IClock& clock)
+{
+    fleet::ExchangeOptions it { .self = settings.host,
+        .dataCentre = settings.dataCentre,
+        .frontend = settings.frontend,
+        .peerAddress = { .ip = settings.frontend.ip, .port = settings.firstPeerPort },
+        .capacity = settings.limits.coreThousandths,
+        .life = static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()),
+        .alwaysFlat = settings.flatExchange };
+    // Ports are the same on all hosts.
+    for (const std::string& ip : settings.seedIps)
+        it.seeds.push_back({ .ip = ip, .port = settings.firstPeerPort });
+    return it;
+}
+
+void logHosts(const char* event, const std::vector<HostId>& hosts)
+{
+    if (hosts.empty())
+        return;
+    std::string names;
+    for (std::size_t n = 0; n < std::min(hosts.size(), MOST_LOGGED); ++n)
+        names += (n ? "," : "") + hosts[n].value();
+    telemetry::logEvent(spdlog::level::info, event, { { "count", hosts.size() }, { "peers", names } });
+}
 
 }
 
 FleetLink::FleetLink(asio::io_context& loop, const IClock& clock, const EntrySettings& settings,
-    store::IRecordStore& store, IReportPart& part)
+    store::IRecordStore& store, fleet::IReportPart& part)
     : m_clock(clock)
     , m_settings(settings)
     , m_store(store)
-    , m_part(part)
-    , m_hosts(settings.host)
+    , m_exchange(exchangeOptions(settings, clock), part)
     , m_socket(loop)
     , m_tickTimer(loop)
     , m_storeTimer(loop)
-    , m_life(static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count()))
 {
 }
 
@@ -45,8 +74,13 @@
     if (ec)
         return failure(ErrorCode::Unavailable, "cannot receive reports: " + ec.message());
     receive();
-    registerHost();
     tick();
+    // Hosts that start together do not ask the store together.
+    const double spread = unitInterval(stableHash(m_settings.host.value()));
+    const Duration delay = m_settings.firstStart ? RECORD_DELAY_AT_FIRST_START : RECORD_DELAY;
+    const bool alone = m_settings.seedIps.empty();
+    later(m_storeTimer, alone ? Duration(0) : Duration(static_cast<Duration::rep>(delay.count() * (0.7 + 0.3 * spread))),
+        [this] { checkRecord(); });
     return {};
 }
 
@@ -74,84 +108,66 @@
 
 void FleetLink::onDatagram(std::size_t n)
 {
-    const auto report = fleet::decodeReport(std::string(m_buffer.data(), n));
-    if (!report) {
-        telemetry::logEvent(
-            spdlog::level::warn, "peer_report_unreadable", { { "from", m_sender.address().to_string() } });
-        return;
-    }
-    const TimePoint now = m_clock.now();
     const http::Endpoint from { .ip = m_sender.address().to_string(), .port = m_sender.port() };
-    const auto known = m_hosts.hosts().find(report->host);
-    const std::uint64_t lifeBefore = known == m_hosts.hosts().end() ? 0 : known->second.report.life;
-    const auto before = m_hosts.onReport(*report, from, now);
-    if (!before)
-        return;
-    const bool newLife = lifeBefore != report->life;
-    if (newLife)
-        telemetry::logEvent(
-            spdlog::level::info, "peer_heard", { { "peer", report->host.value() }, { "address", from.text() } });
-    m_liveHosts.insert(report->host);
-    m_part.onReport(*before, *report, newLife, now);
-    for (const http::Endpoint& it : report->otherHosts.items) {
-        const bool own = it.ip == m_settings.frontend.ip;
-        const bool isKnown = std::any_of(m_hosts.hosts().begin(), m_hosts.hosts().end(),
-            [&](const auto& entry) { return entry.second.peerAddress == it; });
-        // Its id is learned from its own report.
-        if (!own && !isKnown)
-            m_hosts.onAddress(HostId("at " + it.text()), it, now);
+    bool unreadable = false;
+    send(m_exchange.onDatagram(std::string(m_buffer.data(), n), from, m_clock.now(), unreadable));
+    if (unreadable)
+        telemetry::logEvent(spdlog::level::warn, "peer_report_unreadable", { { "from", from.ip } });
+}
+
+void FleetLink::send(const std::vector<fleet::Datagram>& datagrams)
+{
+    for (const fleet::Datagram& it : datagrams) {
+        boost::system::error_code ec;
+        const auto address = asio::ip::make_address(it.to.ip, ec);
+        // A datagram that can't be sent is as good as one that is lost on the way.
+        m_socket.send_to(asio::buffer(it.bytes), { address, it.to.port }, 0, ec);
+        m_bytesSent += it.bytes.size();
+        ++m_datagramsSent;
     }
 }
 
 void FleetLink::tick()
 {
     const TimePoint now = m_clock.now();
-    noteSilence(now);
-    m_hosts.forgetSilent(now);
-    sendReports(m_sequence % REPORTS_PER_FULL_ONE == 0);
+    send(m_exchange.tick(now));
+    noteChanges(now);
     later(m_tickTimer, REPORT_INTERVAL, [this] { tick(); });
 }
 
-void FleetLink::noteSilence(TimePoint now)
+void FleetLink::noteChanges(TimePoint now)
 {
-    std::erase_if(m_liveHosts, [&](const HostId& id) {
-        const auto it = m_hosts.hosts().find(id);
-        if (it != m_hosts.hosts().end() && m_hosts.isLive(it->second, now))
-            return false;
-        telemetry::logEvent(spdlog::level::info, "peer_silent", { { "peer", id.value() } });
-        m_part.onHostSilent(id);
-        return true;
-    });
+    std::set<HostId> live;
+    for (const fleet::KnownHost* it : hosts().live(now))
+        live.insert(it->report.host);
+    std::vector<HostId> heard;
+    std::vector<HostId> silent;
+    std::set_difference(
+        live.begin(), live.end(), m_liveHosts.begin(), m_liveHosts.end(), std::back_inserter(heard));
+    std::set_difference(
+        m_liveHosts.begin(), m_liveHosts.end(), live.begin(), live.end(), std::back_inserter(silent));
+    logHosts("peer_heard", heard);
+    logHosts("peer_silent", silent);
+    m_liveHosts = std::move(live);
+    const bool layered = hosts().isLayered();
+    const bool aggregator = m_exchange.isAggregator();
+    if (std::exchange(m_wasLayered, layered) != layered || std::exchange(m_wasAggregator, aggregator) != aggregator)
+        telemetry::logEvent(
+            spdlog::level::info, "exchange_layout", { { "layered", layered }, { "aggregator", aggregator } });
 }
 
-void FleetLink::reportNow() { sendReports(true); }
-
-fleet::HostReport FleetLink::report(bool full)
-{
-    const TimePoint now = m_clock.now();
-    fleet::HostReport it { .host = m_settings.host,
-        .life = m_life,
-        .sequence = ++m_sequence,
-        .frontend = m_settings.frontend,
-        .dataCentre = m_settings.dataCentre };
-    m_part.fillReport(it, full, now);
-    if (full) {
-        const auto live = m_hosts.live(now);
-        for (std::size_t n = 0; n < std::min(NAMED_HOSTS, live.size()); ++n)
-            it.otherHosts.items.push_back(live[(m_sequence + n) % live.size()]->peerAddress);
-    }
-    return it;
-}
+void FleetLink::reportNow() { send(m_exchange.reportNow(m_clock.now())); }
 
-void FleetLink::sendReports(bool full)
+// Any host may need another's record when it starts: few hosts all have one, of many the aggregators do.
+void FleetLink::checkRecord()
 {
-    const std::string datagram = encodeReport(report(full));
-    for (const http::Endpoint& target : m_hosts.reportTargets(m_clock.now())) {
-        boost::system::error_code ec;
-        const auto address = asio::ip::make_address(target.ip, ec);
-        m_socket.send_to(asio::buffer(datagram), { address, target.port }, 0, ec);
-        m_bytesSent += datagram.size();
-    }
+    const bool inTouch = m_exchange.isInTouch(m_clock.now());
+    const bool needsRecord = !hosts().isLayered() || m_exchange.isAggregator();
+    if (!m_registered && needsRecord)
+        return registerHost();
+    if (!inTouch || needsRecord)
+        return readHosts({});
+    later(m_storeTimer, RECORD_CHECK, [this] { checkRecord(); });
 }
 
 void FleetLink::registerHost()
@@ -161,10 +177,12 @@
         [this, alive = m_alive](const auto& outcome) {
             if (!*alive)
                 return;
-            if (outcome.value)
+            if (outcome.value) {
+                m_registered = true;
                 return readHosts({});
+            }
             telemetry::logEvent(spdlog::level::warn, "registration_failed", { { "reason", outcome.reason } });
-            later(m_storeTimer, STORE_RETRY, [this] { registerHost(); });
+            later(m_storeTimer, STORE_RETRY, [this] { checkRecord(); });
         });
 }
 
@@ -175,13 +193,13 @@
             return;
         if (!outcome.value) {
             telemetry::logEvent(spdlog::level::warn, "peer_addresses_unread", { { "reason", outcome.reason } });
-            return later(m_storeTimer, STORE_RETRY, [this] { readHosts({}); });
+            return later(m_storeTimer, STORE_RETRY, [this] { checkRecord(); });
         }
         for (const store::KeyedRecord& it : outcome.value->records)
             onHostRecord(it);
         if (outcome.value->continueAfter)
             return readHosts(*outcome.value->continueAfter);
-        later(m_storeTimer, HOSTS_INTERVAL, [this] { readHosts({}); });
+        later(m_storeTimer, HOSTS_INTERVAL, [this] { checkRecord(); });
     });
 }
 
@@ -189,7 +207,7 @@
 {
     const auto address = http::Endpoint::parse(record.value.value_or(""));
     if (address)
-        m_hosts.onAddress(HostId(record.key), *address, m_clock.now());
+        m_exchange.onAddress(HostId(record.key), *address, m_clock.now());
 }
 
 }
--- a/src/entry/internal/peerrelay.cpp
+++ b/src/entry/internal/peerrelay.cpp
@@ -35,8 +35,10 @@
     std::vector<store::KeyedRecord> records;
     std::uint64_t offset = 0;
     std::uint32_t ageMs = 0;
+    // How long the request was held.
+    std::uint32_t heldMs = 0;
 
-    template <typename Archive> void serialize(Archive& archive) { archive(offset, ageMs, records); }
+    template <typename Archive> void serialize(Archive& archive) { archive(offset, ageMs, heldMs, records); }
 };
 
 std::string encode(const RelayAnswer& answer)
@@ -113,6 +115,7 @@
     const Reader reader { .exchange = std::move(exchange),
         .topic = *topic,
         .offset = numberIn(target, "from").value_or(0),
+        .since = m_clock.now(),
         .until = m_clock.now() + wait };
     if (wait == Duration(0) || hasNews(reader))
         return answerRead(reader);
@@ -165,7 +168,8 @@
         return reader.exchange->answer({ .status = STATUS_GONE }, {});
     const RelayAnswer answer { .records = batch->records,
         .offset = batch->nextOffset,
-        .ageMs = static_cast<std::uint32_t>(age(reader.topic).count()) };
+        .ageMs = static_cast<std::uint32_t>(age(reader.topic).count()),
+        .heldMs = static_cast<std::uint32_t>((m_clock.now() - reader.since).count()) };
     reader.exchange->answer({ .status = STATUS_OK }, encode(answer));
 }
 
@@ -272,7 +276,8 @@
             return done(store::Outcome<store::RecordBatch>::failed(store::StoreError::Malformed, "malformed records"));
         done({ .value = store::RecordBatch { .records = std::move(answer->records),
                    .nextOffset = answer->offset,
-                   .sourceAge = Duration(answer->ageMs) } });
+                   .sourceAge = Duration(answer->ageMs),
+                   .heldFor = Duration(answer->heldMs) } });
     });
 }
 
--- a/src/entry/internal/peerrelay.h
+++ b/src/entry/internal/peerrelay.h
@@ -31,6 +31,7 @@
         std::shared_ptr<http::Exchange> exchange;
         store::Topic topic = store::Topic::Operator;
         std::uint64_t offset = 0;
+        TimePoint since {};
         TimePoint until {};
     };
 
--- a/src/fleet/internal/peerload.cpp
+++ b/src/fleet/internal/peerload.cpp
@@ -2,12 +2,14 @@
 
 #include "fireflyhaven/common/hash.h"
 
+#include <algorithm>
+
 namespace fireflyhaven::fleet {
 
 namespace {
 
-// Answers since the earlier count; a count that went back began anew.
-std::uint32_t increase(std::uint32_t before, std::uint32_t after) { return after >= before ? after - before : after; }
+// Answers since the earlier count. The sums of an aggregator go back where a host that they count in falls silent.
+std::uint32_t increase(std::uint32_t before, std::uint32_t after) { return after - std::min(before, after); }
 
 }
 
--- /dev/null
+++ b/src/fleet/tests/reportaggregate_test.cpp
@@ -0,0 +1,124 @@
+#include "fireflyhaven/fleet/reportaggregate.h"
+
+#include <criterion/criterion.h>
+
+using namespace fireflyhaven;
+using namespace fireflyhaven::fleet;
+
+namespace {
+
+constexpr TimePoint START { Duration(100'000) };
+constexpr ShortHash UPSTREAM = 7;
+constexpr ShortHash ROLLOUT = 8;
+constexpr ShortHash ROUTE = 9;
+
+HostReport load(std::uint16_t inFlight, std::uint32_t good, std::uint32_t failed = 0)
+{
+    HostReport it;
+    it.upstreams.items = {
+        { .upstream = UPSTREAM, .inFlight = inFlight, .pendingPrefillMs = inFlight * 10U, .good = good, .failed = failed }
+    };
+    return it;
+}
+
+HostReport trial(std::uint32_t good, std::uint32_t failed)
+{
+    HostReport it;
+    it.rollouts.items = { { .rollout = ROLLOUT } };
+    it.trials.items = { { .rollout = ROLLOUT, .route = ROUTE, .good = good, .failed = failed, .badUpstreams = 1 } };
+    return it;
+}
+
+FleetDigest sums(const ReportAggregate& it, const std::string& except = {}, TimePoint now = START)
+{
+    FleetDigest digest;
+    it.fill(digest, HostId(except), now);
+    return digest;
+}
+
+const HostId A("a");
+const HostId B("b");
+
+}
+
+Test(reportaggregate, aReportThatComesTwiceCountsOnce)
+{
+    ReportAggregate it;
+    it.onReport(A, load(2, 10), true, START);
+    it.onReport(B, load(3, 20, 1), true, START);
+    it.onReport(A, load(2, 15), false, START);
+    it.onReport(A, load(2, 15), false, START);
+    const FleetDigest digest = sums(it);
+    cr_assert_eq(digest.upstreams.items.size(), 1);
+    const UpstreamCounters sum = digest.upstreams.items.front();
+    cr_assert(sum == (UpstreamCounters { .upstream = UPSTREAM, .inFlight = 5, .pendingPrefillMs = 50, .good = 5, .failed = 0 }));
+}
+
+// What a source had counted before is no news, or sound upstreams would look bad where an aggregator is new.
+Test(reportaggregate, answersCountFromWhenTheirSourceIsFirstHeard)
+{
+    ReportAggregate it;
+    it.onReport(A, load(0, 10, 3), true, START);
+    it.onSilent(A);
+    it.onReport(A, load(0, 12, 4), false, START);
+    it.onReport(A, load(0, 1, 1), true, START);
+    const UpstreamCounters sum = sums(it).upstreams.items.front();
+    cr_assert_eq(sum.good, 2);
+    cr_assert_eq(sum.failed, 1);
+}
+
+Test(reportaggregate, theReceiversOwnPartIsLeftOut)
+{
+    ReportAggregate it;
+    it.onReport(A, load(2, 10), true, START);
+    it.onReport(B, load(3, 20), true, START);
+    cr_assert_eq(sums(it, "a").upstreams.items.front().inFlight, 3);
+    it.onReport(A, load(2, 14), false, START);
+    cr_assert_eq(sums(it, "b").upstreams.items.front().good, 4);
+    cr_assert_eq(sums(it, "a").upstreams.items.front().good, 0);
+}
+
+Test(reportaggregate, whatASilentHostHadUnderWayNoLongerCounts)
+{
+    ReportAggregate it;
+    it.onReport(A, load(2, 10), true, START);
+    it.onReport(B, load(3, 20), true, START);
+    it.onSilent(A);
+    it.onSilent(A);
+    cr_assert_eq(sums(it).upstreams.items.front().inFlight, 3);
+}
+
+Test(reportaggregate, answersOfAVersionOnTrialOutliveTheHostThatSawThem)
+{
+    ReportAggregate it;
+    it.onReport(A, trial(5, 4), true, START);
+    it.onReport(B, trial(6, 0), true, START);
+    it.onSilent(A);
+    cr_assert_eq(sums(it).trials.items.front().failed, 4, "silent");
+    it.onReport(A, trial(1, 1), true, START);
+    const TrialCounters sum = sums(it).trials.items.front();
+    cr_assert_eq(sum.failed, 5, "a new life counts beside the earlier one");
+    cr_assert_eq(sum.good, 12);
+}
+
+Test(reportaggregate, viewsAndSessionsGrowOlder)
+{
+    ReportAggregate it;
+    HostReport report = trial(1, 0);
+    report.rollouts.items.front().ageMs = 100;
+    report.sessions.items = { { .session = 1, .ageMs = 50, .onNewVersion = true } };
+    it.onReport(A, report, true, START);
+    const FleetDigest digest = sums(it, {}, START + Duration(30));
+    cr_assert_eq(digest.rollouts.items.front().ageMs, 130);
+    cr_assert_eq(digest.sessions.items.front().ageMs, 80);
+}
+
+Test(reportaggregate, onlyHostsThatNameUpstreamsAreBusy)
+{
+    ReportAggregate it;
+    it.onReport(A, load(1, 0), true, START);
+    it.onReport(B, trial(1, 0), true, START);
+    cr_assert(it.isBusy(A, Duration(1000), START + Duration(999)));
+    cr_assert_not(it.isBusy(A, Duration(1000), START + Duration(1000)));
+    cr_assert_not(it.isBusy(B, Duration(1000), START));
+}
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -72,6 +72,7 @@
     if (known != m_rollouts.end() && known->second.order.target == order.target)
         return;
     Rollout it(order, now);
+    it.trialShare = m_manyHosts ? m_options.trialShareOfMany : m_options.trialShare;
     it.rejected = isRejected(order.service, order.target);
     m_rollouts.insert_or_assign(order.service, std::move(it));
     const auto status = m_statuses.find(order.service);
@@ -124,7 +125,7 @@
     return it.provingSince ? Stage::Proving : Stage::Trial;
 }
 
-double RolloutBoard::shareOf(Stage stage) const
+double RolloutBoard::shareOf(const Rollout& it, Stage stage) const
 {
     switch (stage) {
     case Stage::Settling:
@@ -132,7 +133,7 @@
         return 0;
     case Stage::Trial:
     case Stage::Proving:
-        return m_options.trialShare;
+        return it.trialShare;
     case Stage::Widening:
         return m_options.wideningShare;
     case Stage::Replacing:
@@ -156,7 +157,7 @@
     const bool moving = current == Stage::Proving || current == Stage::Widening;
     if (moving && side == SessionSide::NewVersion)
         return true;
-    return isInRange(it, sessionHash, shareOf(current));
+    return isInRange(it, sessionHash, shareOf(it, current));
 }
 
 bool RolloutBoard::mayProve(const Rollout& it, RequestWeight weight, TimePoint now) const
@@ -271,7 +272,7 @@
         it.judge.fillReport(report);
         // Told are the sessions that are elsewhere than their hash says.
         const auto isTold = [&](std::uint64_t session, SessionSide side) {
-            return isInRange(it, session, m_options.trialShare) != (side == SessionSide::NewVersion);
+            return isInRange(it, session, it.trialShare) != (side == SessionSide::NewVersion);
         };
         m_sessions.fillReport(report, isTold, now);
     }
--- a/src/store/internal/keyedfeed.cpp
+++ b/src/store/internal/keyedfeed.cpp
@@ -47,7 +47,9 @@
 FeedUpdate KeyedFeed::onRecords(const RecordBatch& batch, TimePoint now)
 {
     m_offset = std::max(m_offset, batch.nextOffset);
-    m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint {}), m_requestedAt - batch.sourceAge);
+    // The source answered no earlier than that; how long the answer was on its way is not known.
+    const TimePoint answeredAt = std::min(now, m_requestedAt + batch.heldFor);
+    m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint {}), answeredAt - batch.sourceAge);
     onSucceeded(now);
     return { .replacesAll = false, .records = batch.records };
 }
--- a/src/store/internal/readerchoice.cpp
+++ b/src/store/internal/readerchoice.cpp
@@ -12,6 +12,8 @@
     const bool tryStore = !m_reachesStore && now - m_triedAt >= m_options.storeRetry;
     if (now < m_readOwnUntil || tryStore)
         return std::nullopt;
+    if (hosts.isLayered())
+        return sourceOfMany(hosts, now);
     std::vector<HostId> candidates;
     if (m_reachesStore)
         candidates.push_back(hosts.self());
@@ -25,6 +27,36 @@
     return first == hosts.self() ? std::nullopt : std::optional(first);
 }
 
+std::optional<HostId> ReaderChoice::sourceOfMany(const fleet::HostTable& hosts, TimePoint now) const
+{
+    const std::vector<HostId> readers = hosts.storeReaders(now);
+    if (readers.empty())
+        return std::nullopt;
+    const HostId& first = fleet::firstByRendezvous(readers, "reader of the store");
+    for (const HostId& it : hosts.ranked(hosts.ownDataCentre(), now)) {
+        const bool reads = it == hosts.self() ? m_reachesStore : hosts.reachesStore(it);
+        if (!reads)
+            continue;
+        if (it != hosts.self())
+            return it;
+        return first == hosts.self() ? std::nullopt : std::optional(first);
+    }
+    // Nobody in this data centre reaches the store.
+    return first == hosts.self() ? std::nullopt : std::optional(first);
+}
+
+void ReaderChoice::onStart(bool together, TimePoint now)
+{
+    constexpr int TOGETHER_FACTOR = 3;
+    m_aloneUntil = now + m_options.startAlone * (together ? TOGETHER_FACTOR : 1);
+    m_patientUntil = now + m_options.startPatience * (together ? TOGETHER_FACTOR : 1);
+}
+
+bool ReaderChoice::mustWait(const fleet::HostTable& hosts, TimePoint now) const
+{
+    return now < m_aloneUntil && hosts.live(now).empty();
+}
+
 void ReaderChoice::onStoreRead(bool succeeded, TimePoint now)
 {
     m_reachesStore = succeeded;
@@ -35,7 +67,7 @@
 
 void ReaderChoice::onPeerFailed(TimePoint now)
 {
-    if (m_reachesStore)
+    if (m_reachesStore && now >= m_patientUntil)
         m_readOwnUntil = now + m_options.ownReading;
 }
 
