Sums of the exchange stand for themselves; a session is told by the host that used it; a new life is heard at once

Change: each digest lists all that is under way; sessions go out from their own host, recent ones and a full list now and then; digests to busy hosts every 400 ms, to idle ones every 600 ms, rosters every 3 s or where they changed.

--- a/include/fireflyhaven/fleet/exchange.h
+++ b/include/fireflyhaven/fleet/exchange.h
@@ -55,8 +55,8 @@
 };
 
 // Keeps the hosts in touch. A few hosts report to each other; many report to two aggregators of their data centre,
-// which add the reports up, exchange the sums with the other data centres and send them to their hosts, so that the work
-// of a host does not grow with their number. Anyone may be an aggregator and several may act at once: sums replace
+// which add the reports up, exchange the sums with the other data centres and send them to their hosts, so that the
+// work of a host does not grow with their number. Anyone may be an aggregator and several may act at once: sums replace
 // earlier sums and are never added to them. Does no I/O.
 class Exchange {
 public:
@@ -115,7 +115,7 @@
     FleetDigest digest(DigestScope scope);
     void addRosters(FleetDigest& digest, const DataCentreId& whole, bool replaceEarlier, TimePoint now) const;
     Roster rosterOf(const DataCentreId& dataCentre, std::size_t most, TimePoint now) const;
-    void keepChanges(FleetDigest& digest, const HostId& receiver);
+    void keepNewSessions(FleetDigest& digest) const;
     void welcome(std::vector<Datagram>& out, const HostReport& report, const http::Endpoint& from, TimePoint now);
 
     const ExchangeOptions m_options;
@@ -133,12 +133,11 @@
     std::map<HostId, Summed> m_summed;
     // Number of hosts in other data centres, as their aggregators told.
     std::map<DataCentreId, std::uint16_t> m_hostsElsewhere;
-    // What the last digest told each host of the upstreams.
-    std::map<HostId, std::map<ShortHash, UpstreamCounters>> m_told;
     std::map<HostId, TimePoint> m_welcomed;
     // As of the last tick.
     std::vector<HostId> m_aggregators;
     std::vector<HostId> m_lastRoster;
+    std::uint32_t m_rosterChangedAt = 0;
     TimePoint m_digestAt {};
     // Since when this host waits for digests.
     TimePoint m_waitingSince {};
--- a/include/fireflyhaven/fleet/hosttable.h
+++ b/include/fireflyhaven/fleet/hosttable.h
@@ -15,7 +15,7 @@
     // A host that was not heard for this long takes no callers.
     Duration silence { 1800 };
     // A host that was last heard by an aggregator so long ago, as far as the aggregator told, takes none either.
-    Duration vouchedSilence { 4000 };
+    Duration vouchedSilence { 5500 };
     // A host that was not heard for this long no longer counts in shares of limits.
     Duration forgetShare { 12'000 };
     // A host that was not heard for this long gets no more reports.
--- a/include/fireflyhaven/fleet/reportaggregate.h
+++ b/include/fireflyhaven/fleet/reportaggregate.h
@@ -48,12 +48,13 @@
         // Answers since each source was first heard; a source that falls silent takes none of them away.
         std::uint32_t good = 0;
         std::uint32_t failed = 0;
+        TimePoint changedAt {};
     };
 
-    void take(Source& source, const UpstreamCounters& counters);
+    void take(Source& source, const UpstreamCounters& counters, TimePoint now);
     // The source has nothing under way any more.
     void clearLoad(Source& source);
-    void fillUpstreams(FleetDigest& digest, const Source* except) const;
+    void fillUpstreams(FleetDigest& digest, const Source* except, TimePoint now) const;
     void fillTrials(FleetDigest& digest, const HostId& except) const;
     void fillViews(FleetDigest& digest, const HostId& except, TimePoint now) const;
 
--- a/include/fireflyhaven/fleet/types/fleetdigest.h
+++ b/include/fireflyhaven/fleet/types/fleetdigest.h
@@ -32,7 +32,10 @@
     std::uint16_t hosts = 0;
     ShortList<RosterEntry> entries;
 
-    template <typename Archive> void serialize(Archive& archive) { archive(dataCentre, replacesEarlier, hosts, entries); }
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(dataCentre, replacesEarlier, hosts, entries);
+    }
 };
 
 // Whose reports a digest adds up.
@@ -54,7 +57,7 @@
     DataCentreId dataCentre;
     DigestScope scope = DigestScope::Hosts;
     ShortList<Roster> rosters;
-    // Sums over the scope; upstreams that are not listed stand as they stood in the sender's last digest.
+    // Sums over the scope; upstreams that are not listed have nothing under way.
     ShortList<UpstreamCounters> upstreams;
     ShortList<TrialCounters> trials;
     ShortList<RouteTimes> oldTimes;
--- a/include/fireflyhaven/fleet/types/hostreport.h
+++ b/include/fireflyhaven/fleet/types/hostreport.h
@@ -127,8 +127,8 @@
 
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(host, life, sequence, frontend, dataCentre, capacity, takesCallers, reachesStore, upstreams, trials, oldTimes,
-            rollouts, sessions, otherHosts);
+        archive(host, life, sequence, frontend, dataCentre, capacity, takesCallers, reachesStore, upstreams, trials,
+            oldTimes, rollouts, sessions, otherHosts);
     }
 };
 
--- a/include/fireflyhaven/rollout/sessiontable.h
+++ b/include/fireflyhaven/rollout/sessiontable.h
@@ -25,9 +25,9 @@
     void onUsed(std::uint64_t session, SessionSide side, TimePoint now);
     // No value where the session is not at work.
     std::optional<SessionSide> sideOf(std::uint64_t session, TimePoint now) const;
-    // Adds the sessions that `isTold` picks to a report.
-    void fillReport(
-        fleet::HostReport& report, const std::function<bool(std::uint64_t, SessionSide)>& isTold, TimePoint now) const;
+    // Adds the sessions that `isTold` picks to a report; those that other hosts told of too, unless `ownOnly`.
+    void fillReport(fleet::HostReport& report, const std::function<bool(std::uint64_t, SessionSide)>& isTold,
+        bool ownOnly, TimePoint now) const;
     void onReport(const fleet::HostReport& report, TimePoint now);
     void expire(TimePoint now);
 
@@ -35,6 +35,8 @@
     struct Use {
         TimePoint at {};
         SessionSide side = SessionSide::OldVersion;
+        // Used on this host.
+        bool own = false;
     };
 
     Duration m_lifetime;
--- a/include/fireflyhaven/store/readerchoice.h
+++ b/include/fireflyhaven/store/readerchoice.h
@@ -17,8 +17,8 @@
 };
 
 // Chooses where a host reads what the store holds: one host reads the store for all, the first by rendezvous hash among
-// those that reach it; the others read from that host, and for themselves where it fails them. Where the hosts are many,
-// each reads from the first one of its data centre, and of these all but one read from that one. Does no I/O.
+// those that reach it; the others read from that host, and for themselves where it fails them. Where the hosts are
+// many, each reads from the first one of its data centre, and of these all but one read from that one. Does no I/O.
 class ReaderChoice {
 public:
     explicit ReaderChoice(ReaderChoiceOptions options = {});
--- a/src/balancing/internal/balancer.cpp
+++ b/src/balancing/internal/balancer.cpp
@@ -40,8 +40,7 @@
 {
     const auto& upstream = it.upstream;
     return upstream.service == demand.service && it.isReady(now) && !m_notices.isLeaving(upstream.id, upstream.bornMs)
-        && !m_catalog.isEvacuated(upstream.dataCentre)
-        && (!demand.onlyUpstream || upstream.id == *demand.onlyUpstream)
+        && !m_catalog.isEvacuated(upstream.dataCentre) && (!demand.onlyUpstream || upstream.id == *demand.onlyUpstream)
         && (!demand.onlyVersion || upstream.version == *demand.onlyVersion)
         && std::find(demand.notVersions.begin(), demand.notVersions.end(), upstream.version) == demand.notVersions.end()
         && std::find(demand.excluded.begin(), demand.excluded.end(), upstream.id) == demand.excluded.end();
--- a/src/entry/internal/fleetlink.cpp
+++ b/src/entry/internal/fleetlink.cpp
@@ -79,7 +79,8 @@
     const double spread = unitInterval(stableHash(m_settings.host.value()));
     const Duration delay = m_settings.firstStart ? RECORD_DELAY_AT_FIRST_START : RECORD_DELAY;
     const bool alone = m_settings.seedIps.empty();
-    later(m_storeTimer, alone ? Duration(0) : Duration(static_cast<Duration::rep>(delay.count() * (0.7 + 0.3 * spread))),
+    later(m_storeTimer,
+        alone ? Duration(0) : Duration(static_cast<Duration::rep>(delay.count() * (0.7 + 0.3 * spread))),
         [this] { checkRecord(); });
     return {};
 }
@@ -142,10 +143,8 @@
         live.insert(it->report.host);
     std::vector<HostId> heard;
     std::vector<HostId> silent;
-    std::set_difference(
-        live.begin(), live.end(), m_liveHosts.begin(), m_liveHosts.end(), std::back_inserter(heard));
-    std::set_difference(
-        m_liveHosts.begin(), m_liveHosts.end(), live.begin(), live.end(), std::back_inserter(silent));
+    std::set_difference(live.begin(), live.end(), m_liveHosts.begin(), m_liveHosts.end(), std::back_inserter(heard));
+    std::set_difference(m_liveHosts.begin(), m_liveHosts.end(), live.begin(), live.end(), std::back_inserter(silent));
     logHosts("peer_heard", heard);
     logHosts("peer_silent", silent);
     m_liveHosts = std::move(live);
--- a/src/fleet/internal/exchange.cpp
+++ b/src/fleet/internal/exchange.cpp
@@ -18,9 +18,14 @@
 constexpr Duration WELCOME_INTERVAL { 500 };
 // Sums that were not renewed for this long count no more.
 constexpr Duration SUM_SILENCE { 4000 };
-// A host that named upstreams within this time gets digests at each interval, others at each so many.
+// A host that named upstreams within this time gets whole digests; others learn who lives. Each at so many intervals.
 constexpr Duration BUSY { 3000 };
+constexpr std::uint32_t BUSY_DIGEST_INTERVALS = 2;
 constexpr std::uint32_t IDLE_DIGEST_INTERVALS = 3;
+// Rosters travel that often, and with the next digest of an idle host where they changed.
+constexpr std::uint32_t ROSTER_INTERVALS = 15;
+// A session is told again within this time after its last request, and with each full digest.
+constexpr std::uint32_t RECENT_SESSION_MS = 1200;
 
 HostId sumOf(const DataCentreId& dataCentre) { return HostId("sum of data centre " + dataCentre.value()); }
 
@@ -89,8 +94,8 @@
         return;
     for (const http::Endpoint& it : report.otherHosts.items) {
         const auto hasAddress = [&](const auto& entry) { return entry.second.peerAddress == it; };
-        const bool isKnown = it == m_options.peerAddress
-            || std::any_of(m_hosts.hosts().begin(), m_hosts.hosts().end(), hasAddress);
+        const bool isKnown
+            = it == m_options.peerAddress || std::any_of(m_hosts.hosts().begin(), m_hosts.hosts().end(), hasAddress);
         // Its id is learned from its own report.
         if (!isKnown)
             m_hosts.onAddress(HostId("at " + it.text()), it, now);
@@ -155,8 +160,18 @@
         .oldTimes = digest.oldTimes,
         .rollouts = digest.rollouts,
         .sessions = digest.sessions };
-    // Where another aggregator tells now, answers of a trial that were counted already must not count again.
+    // What is not listed is at rest.
+    for (const UpstreamCounters& it : known.report.upstreams.items) {
+        const auto isSame = [&](const UpstreamCounters& listed) { return listed.upstream == it.upstream; };
+        const auto& listed = digest.upstreams.items;
+        if ((it.inFlight || it.pendingPrefillMs) && std::none_of(listed.begin(), listed.end(), isSame))
+            report.upstreams.items.push_back({ .upstream = it.upstream, .good = it.good, .failed = it.failed });
+    }
+    // Where another aggregator tells now, or a digest was short, answers of a trial that were counted already must not
+    // count again.
     const HostReport before = std::exchange(known.report, report);
+    if (report.trials.items.empty())
+        known.report.trials = before.trials;
     known.from = digest.from;
     known.at = now;
     m_sources.insert(source);
@@ -292,7 +307,7 @@
     std::vector<Datagram> out;
     const bool aggregator = isAggregator();
     const HostReport own = report(full || aggregator, now);
-    const bool idle = own.upstreams.items.empty() && own.rollouts.items.empty();
+    const bool idle = own.upstreams.items.empty();
     const bool due = full || aggregator || !idle || m_ticks % m_options.idleIntervals == 0;
     const std::string bytes = due ? encodeReport(own) : std::string();
     for (const HostId& it : m_aggregators) {
@@ -407,18 +422,23 @@
 void Exchange::tellHosts(std::vector<Datagram>& out, TimePoint now)
 {
     std::vector<HostId> roster = m_hosts.ranked(m_options.dataCentre, now);
-    const bool changed = roster != m_lastRoster;
+    if (roster != m_lastRoster)
+        m_rosterChangedAt = m_ticks;
     m_lastRoster = std::move(roster);
+    const bool changed = m_ticks - m_rosterChangedAt < IDLE_DIGEST_INTERVALS;
     std::uint32_t position = m_ticks;
     for (const auto& [id, host] : m_hosts.hosts()) {
         const bool isMember = host.report.dataCentre == m_options.dataCentre && m_hosts.isHeard(host, now);
         if (!isMember || std::find(m_aggregators.begin(), m_aggregators.end(), id) != m_aggregators.end())
             continue;
-        const bool withRosters = changed || ++position % IDLE_DIGEST_INTERVALS == 0;
-        if (withRosters || m_local.isBusy(id, BUSY, now))
-            tellHost(out, host, withRosters, now);
+        // Hosts have their turns at different intervals.
+        ++position;
+        const bool busy = m_local.isBusy(id, BUSY, now);
+        if (position % (busy ? BUSY_DIGEST_INTERVALS : IDLE_DIGEST_INTERVALS) != 0)
+            continue;
+        const bool rosterDue = position % ROSTER_INTERVALS < IDLE_DIGEST_INTERVALS;
+        tellHost(out, host, changed || rosterDue, now);
     }
-    std::erase_if(m_told, [&](const auto& entry) { return !m_hosts.hosts().contains(entry.first); });
 }
 
 void Exchange::tellHost(std::vector<Datagram>& out, const KnownHost& host, bool withRosters, TimePoint now)
@@ -426,34 +446,28 @@
     FleetDigest it = digest(DigestScope::Fleet);
     m_all.fill(it, host.report.host, now);
     if (m_local.isBusy(host.report.host, BUSY, now)) {
-        keepChanges(it, host.report.host);
+        keepNewSessions(it);
     } else {
         it.upstreams.items.clear();
-        m_told.erase(host.report.host);
+        it.trials.items.clear();
+        it.oldTimes.items.clear();
+        it.sessions.items.clear();
     }
     if (withRosters)
         addRosters(it, m_options.dataCentre, true, now);
     out.push_back({ .to = host.peerAddress, .bytes = encodeDigest(it) });
 }
 
-// Leaves out the upstreams of which the receiver was told the same before, but for a full digest now and then.
-void Exchange::keepChanges(FleetDigest& digest, const HostId& receiver)
+// Leaves out the sessions that were told before, but for a whole list now and then.
+void Exchange::keepNewSessions(FleetDigest& digest) const
 {
-    std::map<ShortHash, UpstreamCounters>& told = m_told[receiver];
-    if (m_ticks % m_options.reportsPerFullOne == 0)
-        told.clear();
-    std::erase_if(digest.upstreams.items, [&](const UpstreamCounters& it) {
-        const auto [known, added] = told.try_emplace(it.upstream, it);
-        if (!added && known->second == it)
-            return true;
-        known->second = it;
-        return false;
-    });
+    if (m_ticks % m_options.reportsPerFullOne < BUSY_DIGEST_INTERVALS)
+        return;
+    std::erase_if(digest.sessions.items, [](const SessionAtWork& it) { return it.ageMs >= RECENT_SESSION_MS; });
 }
 
 // Tells a host that reports to the wrong place where its aggregators are.
-void Exchange::welcome(
-    std::vector<Datagram>& out, const HostReport& report, const http::Endpoint& from, TimePoint now)
+void Exchange::welcome(std::vector<Datagram>& out, const HostReport& report, const http::Endpoint& from, TimePoint now)
 {
     TimePoint& last = m_welcomed[report.host];
     if (last != TimePoint {} && now - last < WELCOME_INTERVAL)
--- a/src/fleet/internal/hosttable.cpp
+++ b/src/fleet/internal/hosttable.cpp
@@ -24,9 +24,9 @@
 Rank rankOf(const HostId& host, bool takesCallers, std::uint16_t capacity)
 {
     static const std::uint64_t SEED = stableHash("rank in the data centre");
-    return { .takesCallers = takesCallers,
-        .capacity = std::min(capacity, LARGE_HOST),
-        .hash = stableHash(host.value(), SEED) };
+    return {
+        .takesCallers = takesCallers, .capacity = std::min(capacity, LARGE_HOST), .hash = stableHash(host.value(), SEED)
+    };
 }
 
 }
@@ -89,6 +89,11 @@
         known.vouchedAt = std::max(known.vouchedAt.value_or(vouchedAt), vouchedAt);
         if (!newer || it.life < known.report.life)
             continue;
+        if (it.life > known.report.life) {
+            // What was heard of its earlier life tells nothing of this one.
+            known.report = {};
+            known.heardAt.reset();
+        }
         known.peerAddress = it.peerAddress;
         known.report.host = it.host;
         known.report.life = it.life;
--- a/src/fleet/internal/reportaggregate.cpp
+++ b/src/fleet/internal/reportaggregate.cpp
@@ -9,6 +9,8 @@
 
 // Sessions that one digest tells of.
 constexpr std::size_t MOST_SESSIONS = 600;
+// Counters of an upstream with nothing under way are told for this long after their last change.
+constexpr Duration TOLD_AT_REST { 3000 };
 
 void addTrial(TrialCounters& sum, const TrialCounters& it)
 {
@@ -35,7 +37,7 @@
         it.trials.clear();
     }
     for (const UpstreamCounters& counters : report.upstreams.items)
-        take(it, counters);
+        take(it, counters, now);
     for (const TrialCounters& trial : report.trials.items)
         it.trials[{ trial.rollout, trial.route }] = trial;
     it.oldTimes = report.oldTimes.items;
@@ -64,7 +66,7 @@
     it->second.silent = true;
 }
 
-void ReportAggregate::take(Source& source, const UpstreamCounters& counters)
+void ReportAggregate::take(Source& source, const UpstreamCounters& counters, TimePoint now)
 {
     const Counted first { .last = { .upstream = counters.upstream, .good = counters.good, .failed = counters.failed },
         .goodBefore = counters.good,
@@ -75,6 +77,8 @@
     sum.pendingPrefillMs += counters.pendingPrefillMs - known.last.pendingPrefillMs;
     sum.good += counters.good - known.last.good;
     sum.failed += counters.failed - known.last.failed;
+    if (known.last != counters)
+        sum.changedAt = now;
     known.last = counters;
 }
 
@@ -90,12 +94,12 @@
 void ReportAggregate::fill(FleetDigest& digest, const HostId& except, TimePoint now) const
 {
     const auto it = m_sources.find(except);
-    fillUpstreams(digest, it == m_sources.end() ? nullptr : &it->second);
+    fillUpstreams(digest, it == m_sources.end() ? nullptr : &it->second, now);
     fillTrials(digest, except);
     fillViews(digest, except, now);
 }
 
-void ReportAggregate::fillUpstreams(FleetDigest& digest, const Source* except) const
+void ReportAggregate::fillUpstreams(FleetDigest& digest, const Source* except, TimePoint now) const
 {
     for (const auto& [upstream, sum] : m_sums) {
         Sum rest = sum;
@@ -106,6 +110,9 @@
             rest.good -= own.last.good - own.goodBefore;
             rest.failed -= own.last.failed - own.failedBefore;
         }
+        const bool atRest = rest.inFlight == 0 && rest.pendingPrefillMs == 0 && now - sum.changedAt >= TOLD_AT_REST;
+        if (atRest)
+            continue;
         digest.upstreams.items.push_back({ .upstream = upstream,
             .inFlight = static_cast<std::uint16_t>(std::min<std::uint32_t>(rest.inFlight, UINT16_MAX)),
             .pendingPrefillMs = rest.pendingPrefillMs,
@@ -136,6 +143,7 @@
 void ReportAggregate::fillViews(FleetDigest& digest, const HostId& except, TimePoint now) const
 {
     std::map<ShortHash, RolloutView> views;
+    std::map<std::uint64_t, SessionAtWork> sessions;
     for (const auto& [id, source] : m_sources) {
         if (id == except || source.silent)
             continue;
@@ -148,12 +156,16 @@
             view.completed = view.completed || it.completed;
         }
         for (SessionAtWork it : source.sessions) {
-            if (digest.sessions.items.size() >= MOST_SESSIONS)
-                break;
             it.ageMs += age;
-            digest.sessions.items.push_back(it);
+            SessionAtWork& known = sessions.try_emplace(it.session, it).first->second;
+            if (it.ageMs < known.ageMs)
+                known = it;
         }
     }
+    for (const auto& [session, it] : sessions) {
+        if (digest.sessions.items.size() < MOST_SESSIONS)
+            digest.sessions.items.push_back(it);
+    }
     for (const auto& [rollout, view] : views)
         digest.rollouts.items.push_back(view);
 }
--- a/src/fleet/tests/exchange_test.cpp
+++ b/src/fleet/tests/exchange_test.cpp
@@ -249,8 +249,10 @@
     fleet.start(restarted);
     restarted.part.inFlight = 2;
     fleet.run(Duration(4'000));
-    cr_assert_eq(restarted.part.load.at(UPSTREAM).inFlight, fleet.others(restarted));
-    cr_assert_eq(fleet.wrong(), 0, "%d hosts are wrong", fleet.wrong());
+    cr_assert_eq(restarted.part.load.at(UPSTREAM).inFlight, fleet.others(restarted), "%u, aggregator %d",
+        restarted.part.load.at(UPSTREAM).inFlight, restarted.exchange->isAggregator());
+    cr_assert_eq(fleet.wrong(), 0, "%d hosts are wrong, host 0 knows %u of %u", fleet.wrong(),
+        fleet.nodes[0].part.load.at(UPSTREAM).inFlight, fleet.others(fleet.nodes[0]));
 }
 
 Test(exchange, allHostsStartedAnewAtOnceFindEachOther)
--- a/src/fleet/tests/reportaggregate_test.cpp
+++ b/src/fleet/tests/reportaggregate_test.cpp
@@ -15,9 +15,11 @@
 HostReport load(std::uint16_t inFlight, std::uint32_t good, std::uint32_t failed = 0)
 {
     HostReport it;
-    it.upstreams.items = {
-        { .upstream = UPSTREAM, .inFlight = inFlight, .pendingPrefillMs = inFlight * 10U, .good = good, .failed = failed }
-    };
+    it.upstreams.items = { { .upstream = UPSTREAM,
+        .inFlight = inFlight,
+        .pendingPrefillMs = inFlight * 10U,
+        .good = good,
+        .failed = failed } };
     return it;
 }
 
@@ -51,7 +53,8 @@
     const FleetDigest digest = sums(it);
     cr_assert_eq(digest.upstreams.items.size(), 1);
     const UpstreamCounters sum = digest.upstreams.items.front();
-    cr_assert(sum == (UpstreamCounters { .upstream = UPSTREAM, .inFlight = 5, .pendingPrefillMs = 50, .good = 5, .failed = 0 }));
+    cr_assert(sum
+        == (UpstreamCounters { .upstream = UPSTREAM, .inFlight = 5, .pendingPrefillMs = 50, .good = 5, .failed = 0 }));
 }
 
 // What a source had counted before is no news, or sound upstreams would look bad where an aggregator is new.
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -274,7 +274,7 @@
         const auto isTold = [&](std::uint64_t session, SessionSide side) {
             return isInRange(it, session, it.trialShare) != (side == SessionSide::NewVersion);
         };
-        m_sessions.fillReport(report, isTold, now);
+        m_sessions.fillReport(report, isTold, m_manyHosts, now);
     }
     if (anyOpen)
         m_oldAnswers.fillReport(report);
--- a/src/rollout/internal/sessiontable.cpp
+++ b/src/rollout/internal/sessiontable.cpp
@@ -9,7 +9,7 @@
 
 void SessionTable::onUsed(std::uint64_t session, SessionSide side, TimePoint now)
 {
-    m_sessions[session] = { .at = now, .side = side };
+    m_sessions[session] = { .at = now, .side = side, .own = true };
 }
 
 std::optional<SessionSide> SessionTable::sideOf(std::uint64_t session, TimePoint now) const
@@ -19,13 +19,13 @@
     return atWork ? std::optional(it->second.side) : std::nullopt;
 }
 
-void SessionTable::fillReport(
-    fleet::HostReport& report, const std::function<bool(std::uint64_t, SessionSide)>& isTold, TimePoint now) const
+void SessionTable::fillReport(fleet::HostReport& report, const std::function<bool(std::uint64_t, SessionSide)>& isTold,
+    bool ownOnly, TimePoint now) const
 {
     for (const auto& [session, use] : m_sessions) {
         if (report.sessions.items.size() >= MAX_TOLD_SESSIONS)
             return;
-        if (now - use.at >= m_lifetime || !isTold(session, use.side))
+        if (now - use.at >= m_lifetime || (ownOnly && !use.own) || !isTold(session, use.side))
             continue;
         report.sessions.items.push_back({ .session = session,
             .ageMs = static_cast<std::uint32_t>((now - use.at).count()),
