--- a/include/fireflyhaven/dispatch/retrybudget.h
+++ b/include/fireflyhaven/dispatch/retrybudget.h
@@ -8,6 +8,14 @@
 
 namespace fireflyhaven::dispatch {
 
+// Sends beyond the first of each request that all hosts together may make: a part of the requests within the window,
+// and a number beyond it.
+struct RetryBound {
+    double ratio = 0;
+    double slack = 0;
+    Duration window {};
+};
+
 struct RetryOptions {
     // Retries in a window per request in it.
     double ratio = 0.1;
@@ -60,4 +68,7 @@
 // Whether another attempt may follow: never for an attempt of unknown outcome of a call that may not be repeated.
 bool mayAttemptAgain(AttemptEnd end, bool repeatable);
 
+// The part of the bound that one of so many hosts may use, so that the sum holds without a word between them.
+RetryOptions shareOfRetries(const RetryBound& bound, int hosts);
+
 }
--- a/src/dispatch/internal/retrybudget.cpp
+++ b/src/dispatch/internal/retrybudget.cpp
@@ -35,4 +35,18 @@
 
 bool mayAttemptAgain(AttemptEnd end, bool repeatable) { return end == AttemptEnd::NotRun || repeatable; }
 
+RetryOptions shareOfRetries(const RetryBound& bound, int hosts)
+{
+    // What is left over covers hosts that come and go within the window.
+    constexpr double USED_RATIO = 0.85;
+    constexpr double USED_SLACK = 0.4;
+    // A few hosts more than are known do no harm.
+    constexpr int LEAST_HOSTS = 8;
+    constexpr int NO_LIMIT_BY_REQUEST = 100;
+    return { .ratio = bound.ratio * USED_RATIO,
+        .slack = bound.slack * USED_SLACK / std::max(LEAST_HOSTS, hosts),
+        .window = bound.window,
+        .maxAttempts = NO_LIMIT_BY_REQUEST };
+}
+
 }
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -201,3 +201,21 @@
     cr_assert_not(assembler.accept({ attempt, 1, "b" }).has_value());
     cr_assert(assembler.hasGap());
 }
+
+// Pattern: all upstreams fail at once, and each of many hosts repeats as much as it may.
+Test(retry_budget, the_parts_of_any_number_of_hosts_keep_the_bound)
+{
+    const RetryBound bound { .ratio = 0.9, .slack = 52, .window = Duration(10'000) };
+    constexpr int REQUESTS = 7'200;
+    for (const int hosts : { 1, 6, 9, 30, 69, 295, 330, 1'000 }) {
+        int retries = 0;
+        for (int host = 0; host < hosts; ++host) {
+            RetryBudget budget(shareOfRetries(bound, hosts));
+            for (int n = 0; n < REQUESTS / hosts; ++n)
+                budget.onRequest(TimePoint(Duration(1'000)));
+            while (budget.take(1, TimePoint(Duration(1'000))))
+                ++retries;
+        }
+        cr_assert(retries <= bound.ratio * REQUESTS + bound.slack, "%d hosts repeat %d requests", hosts, retries);
+    }
+}
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -38,15 +38,10 @@
 // An upstream that acknowledges nothing for this long is taken as dead.
 constexpr Duration UPSTREAM_USER_TIMEOUT { 700 };
 
-dispatch::RetryOptions retryOptions(const ServiceBounds& bounds)
+dispatch::RetryOptions retryOptions(const ServiceBounds& bounds, int hosts)
 {
-    // The bound holds for the sum of all hosts; the part left over covers hosts that come and go within the window.
-    constexpr double USED_RATIO = 0.85;
-    constexpr double USED_SLACK = 0.05;
-    return { .ratio = bounds.retryRatio * USED_RATIO,
-        .slack = std::max(1.0, bounds.retrySlack * USED_SLACK),
-        .window = bounds.retryWindow,
-        .maxAttempts = 100 };
+    return dispatch::shareOfRetries(
+        { .ratio = bounds.retryRatio, .slack = bounds.retrySlack, .window = bounds.retryWindow }, hosts);
 }
 
 rollout::RolloutOptions rolloutOptions(const ServiceBounds& bounds) { return { .session = bounds.session }; }
@@ -65,7 +60,7 @@
                   .naive = m_settings.naivePolicy })
         , m_ladder({ .alwaysLargest = m_settings.naivePolicy })
         , m_rollouts(rolloutOptions(m_settings.bounds))
-        , m_retries(retryOptions(m_settings.bounds))
+        , m_retries(retryOptions(m_settings.bounds, 1))
         , m_client(http::EventClient::create(loop, clock, { .userTimeout = UPSTREAM_USER_TIMEOUT }))
         , m_log(clock, m_metrics)
         , m_sync({ .loop = loop,
@@ -147,7 +142,7 @@
         m_settings.bounds = settings.bounds;
         m_settings.limits = settings.limits;
         m_rollouts.setOptions(rolloutOptions(settings.bounds));
-        m_retries.setOptions(retryOptions(settings.bounds));
+        m_retries.setOptions(retryOptions(settings.bounds, m_sharers));
         telemetry::logEvent(spdlog::level::info, "settings_reloaded");
     }
 
@@ -281,7 +276,7 @@
     std::vector<http::Endpoint> addressesFor(const AddressQuestion& question) const
     {
         if (m_link.hosts().isLayered()) {
-            const auto few = m_named.choose(m_link.hosts(), question.dataCentre, m_clock.now());
+            auto few = m_named.choose(m_link.hosts(), question.dataCentre, m_clock.now());
             if (!few.empty())
                 return few;
         }
@@ -309,6 +304,7 @@
         m_sync.tick(now);
         m_rollouts.tick(now);
         m_balancer.expire(now);
+        noteSharers(now);
         m_conductor.tick(isWriter(now), now);
         if (now - m_beliefsLoggedAt >= BELIEFS_INTERVAL)
             logBeliefs(now);
@@ -316,6 +312,13 @@
         later(m_tickTimer, TICK, [this] { tick(); });
     }
 
+    void noteSharers(TimePoint now)
+    {
+        const int hosts = sharers(now);
+        if (std::exchange(m_sharers, hosts) != hosts)
+            m_retries.setOptions(retryOptions(m_settings.bounds, hosts));
+    }
+
     // One short line from which the host's view at a moment can be read afterwards.
     void logBeliefs(TimePoint now)
     {
@@ -402,6 +405,8 @@
     boost::asio::steady_timer m_shutdownTimer;
     std::function<void()> m_shutdownDone;
     std::optional<TimePoint> m_drainingSince;
+    // Hosts that share limits, as of the last tick.
+    int m_sharers = 1;
     TimePoint m_beliefsLoggedAt {};
     // What the last report told of each upstream.
     std::map<fleet::ShortHash, fleet::UpstreamCounters> m_reported;
--- a/src/entry/internal/namedhosts.cpp
+++ b/src/entry/internal/namedhosts.cpp
@@ -40,6 +40,7 @@
         }
     }
     std::vector<http::Endpoint> addresses;
+    addresses.reserve(chosen.size());
     for (const HostId& it : chosen)
         addresses.push_back(frontendOf(hosts, it));
     return addresses;
--- /dev/null
+++ b/src/entry/tests/namedhosts_test.cpp
@@ -0,0 +1,79 @@
+#include "../internal/namedhosts.h"
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+using namespace fireflyhaven;
+using namespace fireflyhaven::entry;
+
+namespace {
+
+constexpr TimePoint START { Duration(100'000) };
+const DataCentreId HERE("here");
+const DataCentreId THERE("there");
+const http::Endpoint OWN { .ip = "10.1.0.1", .port = 80 };
+
+http::Endpoint frontend(int place, int n)
+{
+    return { .ip = "10." + std::to_string(place) + ".0." + std::to_string(n), .port = 80 };
+}
+
+// This host and others of its data centre, and some of another one.
+fleet::HostTable table(int here, int there, bool taking = true)
+{
+    fleet::HostTable it(HostId("self"), { .dataCentre = HERE, .capacity = 120 });
+    it.setOwnState({ .takesCallers = true, .reachesStore = true });
+    it.setLayered(true);
+    const auto add = [&](const DataCentreId& dataCentre, int place, int n) {
+        fleet::Roster roster { .dataCentre = dataCentre };
+        for (int host = 2; host < n + 2; ++host)
+            roster.entries.items.push_back({ .host = HostId(dataCentre.value() + std::to_string(host)),
+                .life = 1,
+                .frontend = frontend(place, host),
+                .capacity = 120,
+                .takesCallers = taking });
+        it.onRoster(roster, START);
+    };
+    add(HERE, 1, here);
+    add(THERE, 2, there);
+    return it;
+}
+
+}
+
+// Pattern: hundreds of hosts, of which each would send so few requests that no connection or prompt part is used twice.
+Test(namedhosts, ofManyHostsAQuarterTakesTheCallers)
+{
+    const fleet::HostTable hosts = table(59, 8);
+    const auto chosen = NamedHosts(OWN).choose(hosts, HERE, START);
+    cr_assert_eq(chosen.size(), 15);
+    for (const http::Endpoint& it : chosen)
+        cr_assert(it.ip.starts_with("10.1."), "%s is in another data centre", it.ip.c_str());
+}
+
+Test(namedhosts, theAggregatorsTakeNoneWhileOthersDo)
+{
+    const fleet::HostTable hosts = table(59, 8);
+    const auto ranked = hosts.ranked(HERE, START);
+    const auto chosen = NamedHosts(OWN).choose(hosts, HERE, START);
+    for (std::size_t n = 0; n < 2; ++n) {
+        const http::Endpoint aggregator = ranked[n] == hosts.self() ? OWN : hosts.hosts().at(ranked[n]).report.frontend;
+        cr_assert(std::find(chosen.begin(), chosen.end(), aggregator) == chosen.end());
+    }
+}
+
+// Pattern: most hosts of a data centre were killed at the same moment.
+Test(namedhosts, whereFewAreLeftAllTakeCallersAndOtherDataCentresHelp)
+{
+    const auto chosen = NamedHosts(OWN).choose(table(1, 8), HERE, START);
+    cr_assert(std::find(chosen.begin(), chosen.end(), OWN) != chosen.end());
+    cr_assert_geq(chosen.size(), 8);
+}
+
+Test(namedhosts, hostsThatTakeNoCallersAreNotNamed)
+{
+    const auto chosen = NamedHosts(OWN).choose(table(59, 8, false), HERE, START);
+    cr_assert_eq(chosen.size(), 1);
+    cr_assert(chosen.front() == OWN);
+}
--- a/src/fleet/internal/hosttable.cpp
+++ b/src/fleet/internal/hosttable.cpp
@@ -158,6 +158,7 @@
     }
     std::sort(hosts.begin(), hosts.end(), std::greater<>());
     std::vector<HostId> ids;
+    ids.reserve(hosts.size());
     for (auto& [rank, id] : hosts)
         ids.push_back(std::move(id));
     return ids;
