Rival aggregators learn of each other; a starting host sends few datagrams; an idle host's digest carries no sums

Causes, each found by a test of the exchange: a host that started with a partial view could stay an aggregator for itself alone (300 hosts at 2 % loss: 11 aggregators instead of 10); all of 300 hosts starting at once sent from each to each, since every named address was probed; a busy host whose full report was lost got a digest without upstreams and took the others for idle. Change: two hosts that tell the sums of one data centre are told of each other, aggregators ask the seeds every 3 s; at most 8 silent addresses are probed at a time; digests to idle hosts say only that the sender is there.

--- a/include/fireflyhaven/fleet/exchange.h
+++ b/include/fireflyhaven/fleet/exchange.h
@@ -94,7 +94,7 @@
     };
 
     void onHostReport(const HostReport& report, const http::Endpoint& from, TimePoint now);
-    void onDigest(const FleetDigest& digest, TimePoint now);
+    void onDigest(std::vector<Datagram>& out, const FleetDigest& digest, TimePoint now);
     bool isNew(const FleetDigest& digest, TimePoint now);
     void onSums(const HostId& source, const FleetDigest& digest, TimePoint now);
     void drop(const HostId& source);
@@ -116,7 +116,9 @@
     void addRosters(FleetDigest& digest, const DataCentreId& whole, bool replaceEarlier, TimePoint now) const;
     Roster rosterOf(const DataCentreId& dataCentre, std::size_t most, TimePoint now) const;
     void keepNewSessions(FleetDigest& digest) const;
-    void welcome(std::vector<Datagram>& out, const HostReport& report, const http::Endpoint& from, TimePoint now);
+    void introduceRivals(std::vector<Datagram>& out, const FleetDigest& digest, TimePoint now);
+    void tellRosters(std::vector<Datagram>& out, const HostId& host, const DataCentreId& dataCentre,
+        const http::Endpoint& address, TimePoint now);
 
     const ExchangeOptions m_options;
     IReportPart& m_part;
--- a/include/fireflyhaven/fleet/hosttable.h
+++ b/include/fireflyhaven/fleet/hosttable.h
@@ -82,8 +82,9 @@
     bool takesCallers(const HostId& host) const;
     // Hosts that may be sending to upstreams, as far as they are known one by one, this one included.
     int sharers(TimePoint now) const;
-    // Addresses that are due for a report: all that live, and those that are probed.
-    std::vector<http::Endpoint> reportTargets(TimePoint now);
+    // Addresses that are due for a report: all that live, and some silent ones that are probed. A host that starts is
+    // named hundreds of others, and all may start at once.
+    std::vector<http::Endpoint> reportTargets(std::size_t mostProbes, TimePoint now);
     // Addresses of silent hosts that are due for a probe, at most so many.
     std::vector<http::Endpoint> probeTargets(std::size_t most, TimePoint now);
     void forgetSilent(TimePoint now);
--- a/include/fireflyhaven/fleet/types/fleetdigest.h
+++ b/include/fireflyhaven/fleet/types/fleetdigest.h
@@ -46,6 +46,8 @@
     DataCentre,
     // Those of all hosts but the receiver, for a host of the sender's data centre.
     Fleet,
+    // Nobody's; it tells an idle host of the sender's data centre that the sender is there.
+    Presence,
 };
 
 // What an aggregator tells others of the hosts that report to it.
--- a/src/fleet/internal/exchange.cpp
+++ b/src/fleet/internal/exchange.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t NAMED_ADDRESSES = 8;
 constexpr std::size_t MOST_PROBES = 8;
 constexpr Duration SEED_INTERVAL { 400 };
+constexpr Duration AGGREGATOR_SEED_INTERVAL { 3000 };
+// Digests of one data centre that come from two hosts within this time are those of rivals.
+constexpr Duration RIVAL_WINDOW { 1000 };
 // At the start of all hosts an aggregator does not know yet whom it has not heard of.
 constexpr std::uint32_t START_INTERVALS = 25;
 // Shortest time between two answers to a host that reports to the wrong place.
@@ -19,9 +22,9 @@
 // Sums that were not renewed for this long count no more.
 constexpr Duration SUM_SILENCE { 4000 };
 // A host that named upstreams within this time gets whole digests; others learn who lives. Each at so many intervals.
-constexpr Duration BUSY { 3000 };
+constexpr Duration BUSY { 5000 };
 constexpr std::uint32_t BUSY_DIGEST_INTERVALS = 2;
-constexpr std::uint32_t IDLE_DIGEST_INTERVALS = 3;
+constexpr std::uint32_t IDLE_DIGEST_INTERVALS = 2;
 // Rosters travel that often, and with the next digest of an idle host where they changed.
 constexpr std::uint32_t ROSTER_INTERVALS = 15;
 // A session is told again within this time after its last request, and with each full digest.
@@ -76,9 +79,9 @@
         onHostReport(*report, from, now);
         const bool expected = isAggregator() && report->dataCentre == m_options.dataCentre;
         if (m_hosts.isLayered() && !expected)
-            welcome(out, *report, from, now);
+            tellRosters(out, report->host, report->dataCentre, from, now);
     } else if (const auto digest = decodeDigest(bytes)) {
-        onDigest(*digest, now);
+        onDigest(out, *digest, now);
     } else {
         unreadable = true;
     }
@@ -123,7 +126,7 @@
     return true;
 }
 
-void Exchange::onDigest(const FleetDigest& digest, TimePoint now)
+void Exchange::onDigest(std::vector<Datagram>& out, const FleetDigest& digest, TimePoint now)
 {
     if (digest.from == m_options.self || digest.from.empty() || !isNew(digest, now))
         return;
@@ -136,7 +139,10 @@
     const bool own = digest.dataCentre == m_options.dataCentre;
     if (digest.scope == DigestScope::DataCentre && !own && isAggregator()) {
         dropIf([&](const HostId& it) { return isHostOf(it, digest.dataCentre); });
+        introduceRivals(out, digest, now);
         onSums(sumOf(digest.dataCentre), digest, now);
+    } else if (digest.scope == DigestScope::Presence && own) {
+        m_digestAt = now;
     } else if (digest.scope == DigestScope::Fleet && own) {
         m_digestAt = now;
         if (isAggregator())
@@ -146,6 +152,21 @@
     }
 }
 
+// Two hosts of one data centre that each tell its sums do not know of each other.
+void Exchange::introduceRivals(std::vector<Datagram>& out, const FleetDigest& digest, TimePoint now)
+{
+    const auto last = m_summed.find(sumOf(digest.dataCentre));
+    if (last == m_summed.end() || last->second.from == digest.from || now - last->second.at >= RIVAL_WINDOW)
+        return;
+    for (const HostId& it : { last->second.from, digest.from })
+        m_hosts.onSign(it, now);
+    for (const HostId& it : { last->second.from, digest.from }) {
+        const auto host = m_hosts.hosts().find(it);
+        if (host != m_hosts.hosts().end())
+            tellRosters(out, it, digest.dataCentre, host->second.peerAddress, now);
+    }
+}
+
 void Exchange::onSums(const HostId& source, const FleetDigest& digest, TimePoint now)
 {
     Summed& known = m_summed[source];
@@ -167,11 +188,8 @@
         if ((it.inFlight || it.pendingPrefillMs) && std::none_of(listed.begin(), listed.end(), isSame))
             report.upstreams.items.push_back({ .upstream = it.upstream, .good = it.good, .failed = it.failed });
     }
-    // Where another aggregator tells now, or a digest was short, answers of a trial that were counted already must not
-    // count again.
+    // Where another aggregator tells now, answers of a trial that were counted already must not count again.
     const HostReport before = std::exchange(known.report, report);
-    if (report.trials.items.empty())
-        known.report.trials = before.trials;
     known.from = digest.from;
     known.at = now;
     m_sources.insert(source);
@@ -296,7 +314,7 @@
     }
     const std::string bytes = encodeReport(own);
     std::vector<Datagram> out;
-    for (const http::Endpoint& it : m_hosts.reportTargets(now))
+    for (const http::Endpoint& it : m_hosts.reportTargets(MOST_PROBES, now))
         out.push_back({ .to = it, .bytes = bytes });
     askSeeds(out, bytes, now);
     return out;
@@ -341,7 +359,9 @@
 
 void Exchange::askSeeds(std::vector<Datagram>& out, const std::string& report, TimePoint now)
 {
-    if (!needsSeeds(now) || now - m_seedsAskedAt < SEED_INTERVAL)
+    // An aggregator asks now and then, lest it be one for itself alone.
+    const Duration interval = needsSeeds(now) ? SEED_INTERVAL : AGGREGATOR_SEED_INTERVAL;
+    if ((!needsSeeds(now) && !isAggregator()) || now - m_seedsAskedAt < interval)
         return;
     m_seedsAskedAt = now;
     for (const http::Endpoint& it : m_options.seeds) {
@@ -443,15 +463,11 @@
 
 void Exchange::tellHost(std::vector<Datagram>& out, const KnownHost& host, bool withRosters, TimePoint now)
 {
-    FleetDigest it = digest(DigestScope::Fleet);
-    m_all.fill(it, host.report.host, now);
-    if (m_local.isBusy(host.report.host, BUSY, now)) {
+    const bool busy = m_local.isBusy(host.report.host, BUSY, now);
+    FleetDigest it = digest(busy ? DigestScope::Fleet : DigestScope::Presence);
+    if (busy) {
+        m_all.fill(it, host.report.host, now);
         keepNewSessions(it);
-    } else {
-        it.upstreams.items.clear();
-        it.trials.items.clear();
-        it.oldTimes.items.clear();
-        it.sessions.items.clear();
     }
     if (withRosters)
         addRosters(it, m_options.dataCentre, true, now);
@@ -466,16 +482,17 @@
     std::erase_if(digest.sessions.items, [](const SessionAtWork& it) { return it.ageMs >= RECENT_SESSION_MS; });
 }
 
-// Tells a host that reports to the wrong place where its aggregators are.
-void Exchange::welcome(std::vector<Datagram>& out, const HostReport& report, const http::Endpoint& from, TimePoint now)
+// Tells a host where the aggregators of its data centre are.
+void Exchange::tellRosters(std::vector<Datagram>& out, const HostId& host, const DataCentreId& dataCentre,
+    const http::Endpoint& address, TimePoint now)
 {
-    TimePoint& last = m_welcomed[report.host];
+    TimePoint& last = m_welcomed[host];
     if (last != TimePoint {} && now - last < WELCOME_INTERVAL)
         return;
     last = now;
     FleetDigest it = digest(DigestScope::Hosts);
-    addRosters(it, report.dataCentre, false, now);
-    out.push_back({ .to = from, .bytes = encodeDigest(it) });
+    addRosters(it, dataCentre, false, now);
+    out.push_back({ .to = address, .bytes = encodeDigest(it) });
 }
 
 }
--- a/src/fleet/internal/hosttable.cpp
+++ b/src/fleet/internal/hosttable.cpp
@@ -213,17 +213,11 @@
     return 1 + static_cast<int>(std::count_if(m_hosts.begin(), m_hosts.end(), counts));
 }
 
-std::vector<http::Endpoint> HostTable::reportTargets(TimePoint now)
+std::vector<http::Endpoint> HostTable::reportTargets(std::size_t mostProbes, TimePoint now)
 {
-    std::vector<http::Endpoint> targets;
-    for (auto& [id, it] : m_hosts) {
-        if (isLive(it, now)) {
-            targets.push_back(it.peerAddress);
-        } else if (now - it.probedAt >= m_options.probeInterval) {
-            it.probedAt = now;
-            targets.push_back(it.peerAddress);
-        }
-    }
+    std::vector<http::Endpoint> targets = probeTargets(mostProbes, now);
+    for (const KnownHost* it : live(now))
+        targets.push_back(it->peerAddress);
     return targets;
 }
 
--- a/src/fleet/tests/exchange_test.cpp
+++ b/src/fleet/tests/exchange_test.cpp
@@ -179,7 +179,7 @@
     for (std::size_t n = 0; n < fleet.nodes.size(); n += 4)
         fleet.nodes[n].part.inFlight = static_cast<std::uint16_t>(1 + n % 3);
     fleet.run(Duration(5'000));
-    cr_assert_eq(fleet.aggregators().size(), 10, "two in each data centre");
+    cr_assert_eq(fleet.aggregators().size(), 10, "%zu instead of two in each data centre", fleet.aggregators().size());
     cr_assert_leq(fleet.wrong(), 2, "%d busy hosts are wrong", fleet.wrong());
 }
 
@@ -331,3 +331,17 @@
     cr_assert(fleet.aggregators().empty());
     cr_assert_eq(fleet.wrong(), 0);
 }
+
+// Pattern: all hosts of a large fleet start within the same moment, and each is named many others at once.
+Test(exchange, theStartOfAllHostsDoesNotSendFromEachToEach)
+{
+    constexpr int HOSTS = 300;
+    // Datagrams of one host in its first second, on average; all to all would be a multiple of the number of hosts.
+    constexpr std::uint64_t MOST_EACH = 100;
+    Fleet fleet(5, HOSTS / 5, 0);
+    fleet.run(Duration(1'000));
+    std::uint64_t sent = 0;
+    for (const Node& it : fleet.nodes)
+        sent += it.sent;
+    cr_assert_leq(sent / HOSTS, MOST_EACH, "%zu datagrams a host", static_cast<std::size_t>(sent / HOSTS));
+}
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -94,11 +94,11 @@
 {
     HostTable table(HostId("self"), { .silence = Duration(2000), .forgetAddress = Duration(60'000) });
     table.onReport(report("a", 1, 1), address(2), START);
-    cr_assert_eq(table.reportTargets(START).size(), 1);
+    cr_assert_eq(table.reportTargets(8, START).size(), 1);
     const TimePoint later = START + Duration(10'000);
-    cr_assert_eq(table.reportTargets(later).size(), 1);
-    cr_assert_eq(table.reportTargets(later + Duration(100)).size(), 0);
-    cr_assert_eq(table.reportTargets(later + Duration(1000)).size(), 1);
+    cr_assert_eq(table.reportTargets(8, later).size(), 1);
+    cr_assert_eq(table.reportTargets(8, later + Duration(100)).size(), 0);
+    cr_assert_eq(table.reportTargets(8, later + Duration(1000)).size(), 1);
     table.forgetSilent(START + Duration(59'999));
     cr_assert_eq(table.hosts().size(), 1);
     table.forgetSilent(START + Duration(60'000));
