A version is proved at the load that it would bear if it served all requests

Change: the load aimed at is 1.4 times what all hosts have under way over the new version's slots, between 0.62 and 0.95; only answers at 0.8 of it or more count as under load.

--- a/include/fireflyhaven/rollout/rolloutboard.h
+++ b/include/fireflyhaven/rollout/rolloutboard.h
@@ -23,8 +23,11 @@
     double longestTrialPart = 0.72;
     // Part of the order's time after which the proof under load ends, whatever it has shown.
     double provingEndPart = 0.78;
-    // Part of an upstream's slots that is put to use for that, and good answers under load that prove the version.
+    // Part of an upstream's slots that is put to use for that: what each upstream of the version would bear in a peak
+    // if it served all requests, within these limits. Good answers under load that prove the version.
+    double peakFactor = 1.4;
     double provingLoad = 0.62;
+    double mostProvingLoad = 0.95;
     std::uint32_t provingAnswers = 16;
     // Share of the sessions that moves first, and for how long.
     double wideningShare = 0.35;
@@ -81,6 +84,8 @@
     std::optional<UpstreamId> provingUpstream;
     int provingSlots = 0;
     int provingInFlight = 0;
+    // What all hosts have under way at all of them.
+    int inFlight = 0;
 };
 
 // Moves services to new versions: tries a version with few sessions, judges it by the answers that all hosts see,
@@ -149,6 +154,8 @@
     // Share of the sessions that a stage gives to the new version.
     double shareOf(const Rollout& it, Stage stage) const;
     bool targetServes(const Rollout& it, std::uint64_t sessionHash, TimePoint now) const;
+    // Part of the slots of the upstream that proves the version that is to be in use.
+    double provingLoadOf(const Rollout& it) const;
     bool mayProve(const Rollout& it, RequestWeight weight, TimePoint now) const;
     bool mayEndTrial(const Rollout& it, TimePoint now) const;
     void endTrial(Rollout& it, TimePoint now);
--- a/include/fireflyhaven/rollout/versionjudge.h
+++ b/include/fireflyhaven/rollout/versionjudge.h
@@ -46,7 +46,7 @@
     std::map<HostId, std::map<fleet::ShortHash, quality::TimeFactors>> m_otherTimes;
 };
 
-// Answers of upstreams at work at half of their slots or more.
+// Answers of upstreams under load.
 struct LoadedAnswers {
     std::uint32_t good = 0;
     std::uint32_t failed = 0;
@@ -79,6 +79,8 @@
     {
     }
 
+    // Part of the slots that an upstream under load has in use.
+    void setLoad(double load);
     void onAnswer(fleet::ShortHash route, const AnswerSample& answer, const OldAnswers& old);
     void fillReport(fleet::HostReport& report) const;
     void onReport(const fleet::HostReport& before, const fleet::HostReport& report, const OldAnswers& old);
@@ -87,7 +89,7 @@
     std::optional<std::string> failures(int upstreams) const;
     quality::TimeEvidence times(const OldAnswers& old) const;
     AnswerTotals totals() const;
-    // Answers of upstreams at work at half of their slots or more, on all hosts.
+    // Answers of upstreams under load, on all hosts.
     LoadedAnswers underLoad(const OldAnswers& old) const;
 
 private:
@@ -104,6 +106,8 @@
         const OldAnswers& old);
 
     fleet::ShortHash m_rollout;
+    // Answers at this part of the slots or more count as under load.
+    double m_loadedFrom = 0.5;
     ByRoute m_own;
     std::map<HostId, ByRoute> m_others;
     quality::BadVersionDetector m_detector;
--- a/src/entry/internal/conductor.cpp
+++ b/src/entry/internal/conductor.cpp
@@ -43,6 +43,7 @@
             if (!isNew && m_parts.board.isRejected(service, it.upstream.version))
                 continue;
             (isNew ? capacity.newSlots : capacity.oldSlots) += it.upstream.slots;
+            capacity.inFlight += inFlightAt(id);
             if (isNew)
                 noteNewUpstream(it, capacity, now);
         }
@@ -63,8 +64,12 @@
         return;
     capacity.provingUpstream = id;
     capacity.provingSlots = it.upstream.slots;
-    capacity.provingInFlight
-        = m_parts.balancer.inFlight(id) + static_cast<int>(m_parts.peers.at(fleet::shortHashOf(id)).inFlight);
+    capacity.provingInFlight = inFlightAt(id);
+}
+
+int Conductor::inFlightAt(const UpstreamId& id) const
+{
+    return m_parts.balancer.inFlight(id) + static_cast<int>(m_parts.peers.at(fleet::shortHashOf(id)).inFlight);
 }
 
 int Conductor::oldInFlight(const ServiceName& service) const
@@ -74,7 +79,7 @@
     for (const auto& [id, it] : m_parts.catalog.upstreams()) {
         if (it.upstream.service != service || it.upstream.version == target)
             continue;
-        n += m_parts.balancer.inFlight(id) + static_cast<int>(m_parts.peers.at(fleet::shortHashOf(id)).inFlight);
+        n += inFlightAt(id);
     }
     return n;
 }
--- a/src/entry/internal/conductor.h
+++ b/src/entry/internal/conductor.h
@@ -32,6 +32,8 @@
 private:
     void noteCapacity(TimePoint now);
     void noteNewUpstream(const catalog::UpstreamState& it, rollout::VersionCapacity& capacity, TimePoint now) const;
+    // What all hosts have under way there.
+    int inFlightAt(const UpstreamId& id) const;
     int oldInFlight(const ServiceName& service) const;
     void write(const catalog::RolloutStatus& status);
 
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -108,8 +108,10 @@
 void RolloutBoard::onCapacity(const ServiceName& service, const VersionCapacity& capacity)
 {
     const auto it = m_rollouts.find(service);
-    if (it != m_rollouts.end())
+    if (it != m_rollouts.end()) {
         it->second.capacity = capacity;
+        it->second.judge.setLoad(provingLoadOf(it->second));
+    }
 }
 
 Stage RolloutBoard::stage(const Rollout& it, TimePoint now) const
@@ -160,10 +162,17 @@
     return isInRange(it, sessionHash, shareOf(it, current));
 }
 
+double RolloutBoard::provingLoadOf(const Rollout& it) const
+{
+    const VersionCapacity& capacity = it.capacity;
+    const double whole = capacity.newSlots > 0 ? static_cast<double>(capacity.inFlight) / capacity.newSlots : 0;
+    return std::clamp(m_options.peakFactor * whole, m_options.provingLoad, m_options.mostProvingLoad);
+}
+
 bool RolloutBoard::mayProve(const Rollout& it, RequestWeight weight, TimePoint now) const
 {
     const VersionCapacity& capacity = it.capacity;
-    const bool full = capacity.provingInFlight >= m_options.provingLoad * capacity.provingSlots;
+    const bool full = capacity.provingInFlight >= provingLoadOf(it) * capacity.provingSlots;
     if (stage(it, now) != Stage::Proving || !capacity.provingUpstream || full || weight == RequestWeight::Heavy)
         return false;
     // Short requests are many for the load that they make: they help only where the long ones do not suffice.
--- a/src/rollout/internal/versionjudge.cpp
+++ b/src/rollout/internal/versionjudge.cpp
@@ -21,8 +21,10 @@
 // Times of the old version's last answers that are compared with.
 constexpr float OLD_TIMES_KEPT = 400;
 constexpr int BITMAP_BITS = 32;
-// Part of an upstream's slots in use that counts as load.
-constexpr double LOADED = 0.5;
+// Part of an upstream's slots in use that counts as load at least, and as a part of the load that is aimed at: requests
+// come and go while an upstream is kept at it.
+constexpr double LEAST_LOADED = 0.5;
+constexpr double LOADED_PART = 0.8;
 // Good answers under load that outweigh a failed one, and failed ones that tell anything.
 constexpr std::uint32_t GOOD_PER_FAILED = 8;
 // Good answers under load per failed one up to which the failures tell against the version.
@@ -92,6 +94,8 @@
         m_otherTimes[report.host][it.route] = it.times;
 }
 
+void VersionJudge::setLoad(double load) { m_loadedFrom = std::max({ m_loadedFrom, LEAST_LOADED, LOADED_PART * load }); }
+
 void VersionJudge::onAnswer(fleet::ShortHash route, const AnswerSample& answer, const OldAnswers& old)
 {
     Counts& counts = m_own[route];
@@ -99,7 +103,7 @@
     const std::uint32_t bit
         = answer.failed ? 1U << (stableHash(answer.upstream.value()) % BITMAP_BITS) : std::uint32_t(0);
     counts.badUpstreams |= bit;
-    if (answer.load.value_or(0) >= LOADED)
+    if (answer.load.value_or(0) >= m_loadedFrom)
         ++(answer.failed ? counts.underLoad.failed : counts.underLoad.good);
     if (answer.time)
         counts.times.add(*answer.time);
--- a/src/rollout/tests/rollout_test.cpp
+++ b/src/rollout/tests/rollout_test.cpp
@@ -360,11 +360,12 @@
 
 namespace {
 
-// Requests that last a second and a half each, on eight upstreams of 64 slots for each version.
+// Requests that last a second and a half each, on eight upstreams of so many slots for each version.
 class LoadedService {
 public:
-    explicit LoadedService(Deployment& deployment)
+    explicit LoadedService(Deployment& deployment, int slots = 64)
         : m_deployment(deployment)
+        , m_slots(slots)
     {
     }
 
@@ -374,12 +375,13 @@
         std::erase_if(m_running, [&](const Running& it) { return it.until <= now; });
         for (std::size_t host = 0; host < HOSTS; ++host) {
             m_deployment.board(host).onCapacity(SERVICE,
-                { .newSlots = 512,
-                    .oldSlots = 512,
+                { .newSlots = 8 * m_slots,
+                    .oldSlots = 8 * m_slots,
                     .newUpstreams = 8,
                     .provingUpstream = UpstreamId("n" + std::to_string(m_proving)),
-                    .provingSlots = SLOTS,
-                    .provingInFlight = inFlight("n" + std::to_string(m_proving)) });
+                    .provingSlots = m_slots,
+                    .provingInFlight = inFlight("n" + std::to_string(m_proving)),
+                    .inFlight = static_cast<int>(m_running.size()) });
         }
     }
 
@@ -393,7 +395,7 @@
         const std::string any = std::to_string(m_deployment.random()() % 8);
         const std::string upstream = wish.upstream ? wish.upstream->value() : (onNew ? "n" : "o") + any;
         m_running.push_back({ .upstream = upstream, .until = now + Duration(1500) });
-        const double load = static_cast<double>(inFlight(upstream)) / SLOTS;
+        const double load = static_cast<double>(inFlight(upstream)) / m_slots;
         const bool fails = onNew && load >= failsAbove && m_deployment.random()() % 2 == 0;
         board.onSessionUsed(SERVICE, session, onNew ? NEW : OLD, now);
         board.onAnswer({ .service = SERVICE,
@@ -418,7 +420,6 @@
     int count = 0;
 
 private:
-    static constexpr int SLOTS = 64;
     struct Running {
         std::string upstream;
         TimePoint until {};
@@ -431,15 +432,16 @@
     }
 
     Deployment& m_deployment;
+    const int m_slots;
     std::vector<Running> m_running;
     int m_proving = 0;
     int m_failures = 0;
 };
 
 // Forty-five requests a second for the time of the order.
-LoadedService playUnderLoad(Deployment& it, double failsAbove)
+LoadedService playUnderLoad(Deployment& it, double failsAbove, int slots = 64)
 {
-    LoadedService service(it);
+    LoadedService service(it, slots);
     it.order();
     for (TimePoint now = START; now < START + ORDER_TIME; now += Duration(22)) {
         if ((now - START).count() % 110 == 0)
@@ -463,6 +465,17 @@
     cr_assert_lt(service.onNewCount, 0.15 * service.count + 30, "%d of %d", service.onNewCount, service.count);
 }
 
+// Pattern: the upstreams of a large deployment are well used, and the version fails only above the load of a proof at
+// an idle one; once it serves all requests it gets there (grown sites, version-fails-under-load).
+Test(rollout, aVersionIsProvedAtTheLoadThatItWouldBear)
+{
+    constexpr int SLOTS = 14;
+    Deployment it(LoadedService::HOSTS);
+    const LoadedService service = playUnderLoad(it, 0.72, SLOTS);
+    cr_assert(it.board(0).stageOf(SERVICE, START + ORDER_TIME) == Stage::RolledBack);
+    cr_assert_lt(service.onNewCount, 0.15 * service.count + 30, "%d of %d", service.onNewCount, service.count);
+}
+
 namespace {
 
 // One host's board at the end of a proof under load, with this many answers of the new version under load and as many
