Ages add up over two steps: upstreams are read more often and old knowledge is refused sooner where hosts are many

Change: store::ReadTiming holds all intervals, waits and ages; over two steps the age and the wait are parts of the drain time.

--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -2,28 +2,13 @@
 
 #include "fireflyhaven/telemetry/logevent.h"
 
-#include <algorithm>
 
 namespace fireflyhaven::entry {
 
 namespace {
 
-// A read of the operator's records may wait this long for news, and no longer than this part of the bound for keys that
-// were taken away: what it shows is as old as its beginning.
-constexpr Duration OPERATOR_WAIT { 700 };
-constexpr int REVOCATION_PARTS = 6;
-constexpr Duration UPSTREAM_INTERVAL { 700 };
-constexpr Duration STATUS_INTERVAL { 3000 };
-// A read from another host may wait this long for news.
-constexpr Duration RELAY_WAIT { 600 };
-// Longer where many hosts read from one.
-constexpr Duration RELAY_WAIT_OF_MANY { 1200 };
 // Interval of looks for another host to read from, while this one starts.
 constexpr Duration START_LOOK { 50 };
-// What another host knew longer ago is read from the store instead,
-constexpr Duration OLDEST_RELAYED { 2500 };
-// and statuses, which are read seldom, where it was this long ago.
-constexpr Duration OLDEST_RELAYED_STATUS { 9000 };
 // Reads that failed for this long may have been the store's outage, in which registrations lapse.
 constexpr Duration OUTAGE { 1000 };
 // Upstreams that live are registered again within this time after an outage.
@@ -34,11 +19,6 @@
 };
 template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
-Duration oldestRelayed(store::Topic topic)
-{
-    return topic == store::Topic::Status ? OLDEST_RELAYED_STATUS : OLDEST_RELAYED;
-}
-
 const char* topicText(store::Topic topic)
 {
     switch (topic) {
@@ -103,23 +83,16 @@
     }
 }
 
-store::FeedOptions CatalogSync::optionsFor(const Feed& feed, bool fromStore) const
+store::ReadTiming CatalogSync::timing() const
 {
-    const Duration longestWait = m_parts.settings.bounds.revocation / REVOCATION_PARTS;
-    if (!fromStore) {
-        const bool many = m_parts.hosts()->isLayered();
-        const Duration wait = many ? RELAY_WAIT_OF_MANY : RELAY_WAIT;
-        const bool ages = feed.topic == store::Topic::Operator;
-        return { .interval = Duration(0), .wait = ages ? std::min(wait, longestWait) : wait };
-    }
-    switch (feed.topic) {
-    case store::Topic::Operator:
-        return { .interval = Duration(0), .wait = std::min(OPERATOR_WAIT, longestWait) };
-    case store::Topic::Upstreams:
-        return { .interval = UPSTREAM_INTERVAL };
-    default:
-        return { .interval = STATUS_INTERVAL };
-    }
+    const ServiceBounds& bounds = m_parts.settings.bounds;
+    return store::ReadTiming({ .revocation = bounds.revocation, .upstreamDrain = bounds.upstreamDrain });
+}
+
+bool CatalogSync::followsOverTwoSteps() const
+{
+    const fleet::HostTable* hosts = m_parts.hosts();
+    return hosts && hosts->isLayered();
 }
 
 void CatalogSync::drive(Feed& feed)
@@ -129,7 +102,8 @@
     const auto source = hosts ? m_choice.source(*hosts, now) : std::nullopt;
     if (!source && hosts && m_choice.mustWait(*hosts, now))
         return driveAfter(feed, START_LOOK);
-    feed.state.setOptions(optionsFor(feed, !source));
+    const bool steps = followsOverTwoSteps();
+    feed.state.setOptions(source ? timing().fromHost(feed.topic, steps) : timing().fromStore(feed.topic, steps));
     if (const auto due = feed.state.poll(now))
         return request(feed, *due, source);
     const auto next = feed.state.nextPoll();
@@ -152,7 +126,8 @@
     const bool fromStore = !source;
     const auto finish = [this, &feed, fromStore](const auto& outcome, auto&& onValue) {
         const TimePoint now = m_parts.clock.now();
-        const bool tooOld = outcome.value && outcome.value->sourceAge > oldestRelayed(feed.topic);
+        const bool tooOld
+            = outcome.value && outcome.value->sourceAge > timing().oldestFromHost(feed.topic, followsOverTwoSteps());
         if (!outcome.value || tooOld)
             onFailed(feed, fromStore, outcome.value ? store::StoreError::NotDone : outcome.error,
                 tooOld ? "the other host's knowledge is old" : outcome.reason);
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -5,6 +5,7 @@
 #include "fireflyhaven/entry/wirecodec.h"
 #include "fireflyhaven/store/keyedfeed.h"
 #include "fireflyhaven/store/readerchoice.h"
+#include "fireflyhaven/store/readtiming.h"
 #include "fireflyhaven/store/recordstore.h"
 #include "peerrelay.h"
 
@@ -68,7 +69,8 @@
 
     void drive(Feed& feed);
     void driveAfter(Feed& feed, Duration delay);
-    store::FeedOptions optionsFor(const Feed& feed, bool fromStore) const;
+    bool followsOverTwoSteps() const;
+    store::ReadTiming timing() const;
     void request(Feed& feed, const store::FeedRequest& request, const std::optional<HostId>& source);
     void onFailed(Feed& feed, bool fromStore, store::StoreError error, const std::string& reason);
     void onSucceeded(Feed& feed, bool fromStore);
--- a/src/entry/internal/peerrelay.cpp
+++ b/src/entry/internal/peerrelay.cpp
@@ -1,6 +1,7 @@
 #include "peerrelay.h"
 
 #include "fireflyhaven/common/text.h"
+#include "fireflyhaven/store/readtiming.h"
 #include "fireflyhaven/http/types/status.h"
 
 #include <cereal/archives/portable_binary.hpp>
@@ -27,7 +28,6 @@
 constexpr std::string_view READ_PATH = "/records";
 constexpr std::string_view NEWEST_PATH = "/newest";
 constexpr Duration LONGEST_WAIT { 2000 };
-constexpr Duration CALL_TIMEOUT { 400 };
 constexpr Duration CONNECT_TIMEOUT { 250 };
 
 // Answer of either call.
@@ -268,7 +268,7 @@
 {
     std::string target
         = fmt::format("{}?topic={}&from={}&wait={}", READ_PATH, static_cast<int>(topic), offset, wait.count());
-    call(host, std::move(target), wait + CALL_TIMEOUT, [done = std::move(done)](const auto& raw) {
+    call(host, std::move(target), wait + store::RELAY_TIMEOUT, [done = std::move(done)](const auto& raw) {
         if (!raw.value)
             return done(store::Outcome<store::RecordBatch>::failed(raw.error, raw.reason));
         auto answer = decode(*raw.value);
@@ -284,7 +284,7 @@
 void RelayClient::readNewest(const http::Endpoint& host, store::Topic topic, store::OnOutcome<store::SnapshotPage> done)
 {
     std::string target = fmt::format("{}?topic={}", NEWEST_PATH, static_cast<int>(topic));
-    call(host, std::move(target), CALL_TIMEOUT, [done = std::move(done)](const auto& raw) {
+    call(host, std::move(target), store::RELAY_TIMEOUT, [done = std::move(done)](const auto& raw) {
         if (!raw.value)
             return done(store::Outcome<store::SnapshotPage>::failed(raw.error, raw.reason));
         auto answer = decode(*raw.value);
