A stream's limit is renewed by whole events only

Change: only a whole event renews the limit. Slow events that come in pieces within their limit are left alone. Tests: anUpstreamThatDripsBytes... fails without the change, aSlowStreamWhoseEventsComeInPieces... holds the other side.

--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -2,7 +2,6 @@
 
 #include "fireflyhaven/telemetry/logevent.h"
 
-
 namespace fireflyhaven::entry {
 
 namespace {
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -342,8 +342,13 @@
 void RequestFlow::onAttemptPiece(std::string_view piece, TimePoint now)
 {
     if (m_stage == Stage::Streaming) {
-        m_splitter.feed(piece, [this](const StreamEvent& it) { passEvent(it); });
-        if (m_attemptDeadline && m_ticket)
+        // Bytes alone are no progress: a stalled upstream may drip them.
+        bool anyEvent = false;
+        m_splitter.feed(piece, [&](const StreamEvent& it) {
+            anyEvent = true;
+            passEvent(it);
+        });
+        if (anyEvent && m_attemptDeadline && m_ticket)
             m_attemptDeadline = nextEventBy(now);
         return;
     }
--- a/src/entry/tests/requestflow_test.cpp
+++ b/src/entry/tests/requestflow_test.cpp
@@ -289,6 +289,41 @@
 }
 
 // Urna Viva, quiet-1: 34 streams were cut because the budget was asked only after the attempt had been cancelled.
+// Pattern: a stalled upstream keeps its connection busy with single bytes of an event that never ends.
+Test(streams, anUpstreamThatDripsBytesWithoutAnEventIsLeftLikeASilentOne)
+{
+    Deployment it;
+    FlowUnderTest flow(it, Deployment::request("/stream/1"));
+    flow.head(stream());
+    flow.events(1, 2, START + Duration(30));
+    for (Duration after { 100 }; after < Duration(10'000) && flow.actions.attempts.size() == 1;
+         after += Duration(100)) {
+        flow.flow.onAttemptPiece("x", START + after);
+        if (START + after >= flow.actions.wake)
+            flow.flow.onTimer(START + after);
+    }
+    cr_assert_eq(flow.actions.attempts.size(), 2);
+    cr_assert(flow.actions.attempts.back().order.lastEventId == 2, "it goes on after the last whole event");
+}
+
+// Pattern: a sound upstream is slow, but each event comes whole before its limit.
+Test(streams, aSlowStreamWhoseEventsComeInPiecesIsNotLeft)
+{
+    Deployment it;
+    FlowUnderTest flow(it, Deployment::request("/stream/1"));
+    flow.head(stream());
+    flow.events(1, 1, START + Duration(30));
+    for (std::uint64_t n = 2; n < 12; ++n) {
+        const TimePoint begin = START + Duration(30) + Duration(500) * static_cast<int>(n);
+        flow.flow.onAttemptPiece("id: " + std::to_string(n) + "\nda", begin);
+        if (begin >= flow.actions.wake)
+            flow.flow.onTimer(begin);
+        flow.flow.onAttemptPiece("ta: x\n\n", begin + Duration(100));
+    }
+    cr_assert_eq(flow.actions.attempts.size(), 1);
+    cr_assert_eq(flow.actions.cancelled, 0);
+}
+
 Test(streams, aSilentUpstreamIsKeptWhereNoOtherAttemptMayFollow)
 {
     Deployment it;
