A new writer of roll-out statuses claims the topic, reads what is written, and writes only what is missing

A writer that had been paused could write an old status again under a new epoch. Change: a stopping host is no writer; before its first write a writer claims an epoch of its own, so that an earlier one is refused, then reads the statuses. Epochs of hosts differ also in the same millisecond.

--- a/include/fireflyhaven/store/recordstore.h
+++ b/include/fireflyhaven/store/recordstore.h
@@ -43,6 +43,8 @@
     virtual void put(
         Topic topic, const KeyedRecord& record, const std::optional<Fence>& fence, OnOutcome<std::uint64_t> done)
         = 0;
+    // Refuses all later writes to the topic under a lower epoch of this producer; writes nothing.
+    virtual void claim(Topic topic, const Fence& fence, OnOutcome<std::uint64_t> done) = 0;
     // Calls made since the start.
     virtual std::uint64_t calls() const = 0;
 };
--- a/src/entry/internal/conductor.cpp
+++ b/src/entry/internal/conductor.cpp
@@ -1,7 +1,9 @@
 #include "conductor.h"
 
-#include "fireflyhaven/telemetry/logevent.h"
 #include "fireflyhaven/common/hash.h"
+#include "fireflyhaven/telemetry/logevent.h"
+
+#include <algorithm>
 
 namespace fireflyhaven::entry {
 
@@ -84,6 +86,14 @@
     return n;
 }
 
+bool Conductor::isStatusDue(TimePoint now) const
+{
+    const std::vector<ServiceName> services = m_parts.board.services();
+    return std::any_of(services.begin(), services.end(), [&](const ServiceName& service) {
+        return m_parts.board.statusDue(service, oldInFlight(service), now).has_value();
+    });
+}
+
 void Conductor::tick(bool isWriter, TimePoint now)
 {
     noteCapacity(now);
@@ -91,41 +101,82 @@
         m_fence.reset();
         return;
     }
-    if (m_writing || now < m_retryAt)
+    if (m_calling || now < m_retryAt || !isStatusDue(now))
         return;
+    if (!m_fence)
+        return claim();
     for (const ServiceName& service : m_parts.board.services()) {
         if (const auto status = m_parts.board.statusDue(service, oldInFlight(service), now))
             return write(*status);
     }
 }
 
+// A later writer has a later wall clock, or is refused until it has. Two that claim in the same moment differ.
+std::uint64_t Conductor::nextEpoch() const
+{
+    constexpr std::uint64_t HOSTS = 512;
+    const auto wall = static_cast<std::uint64_t>(m_parts.clock.wallNow().time_since_epoch().count());
+    return 2 * (wall * HOSTS + stableHash(m_parts.host.value()) % HOSTS);
+}
+
+void Conductor::claim()
+{
+    const std::uint64_t epoch = nextEpoch();
+    m_calling = true;
+    m_parts.store.claim(store::Topic::Status, { .producer = PRODUCER, .epoch = epoch },
+        [this, alive = m_alive, epoch](const auto& outcome) {
+            if (!*alive)
+                return;
+            if (!outcome.value)
+                return onRefused("claim", outcome.reason);
+            // The next epoch may begin at any sequence number, whether the claim counted or not.
+            m_claimed = { .producer = PRODUCER, .epoch = epoch + 1 };
+            readStatuses();
+        });
+}
+
+void Conductor::readStatuses()
+{
+    m_parts.store.readNewest(store::Topic::Status, {}, [this, alive = m_alive](const auto& outcome) {
+        if (!*alive)
+            return;
+        if (!outcome.value)
+            return onRefused("read", outcome.reason);
+        m_calling = false;
+        for (const store::KeyedRecord& it : outcome.value->records) {
+            if (const auto status = m_parts.codec.decodeRolloutStatus(it))
+                m_parts.board.onStatus(*status);
+        }
+        m_fence = m_claimed;
+    });
+}
+
 void Conductor::write(const catalog::RolloutStatus& status)
 {
-    // A later writer has a later wall clock, or is refused until it has.
-    if (!m_fence) {
-        const auto epoch = static_cast<std::uint64_t>(m_parts.clock.wallNow().time_since_epoch().count());
-        m_fence = store::Fence { .producer = PRODUCER, .epoch = epoch, .sequence = 0 };
-    }
-    m_writing = true;
+    m_calling = true;
     m_parts.store.put(store::Topic::Status, m_parts.codec.encodeRolloutStatus(status), m_fence,
         [this, alive = m_alive, status](const auto& outcome) {
             if (!*alive)
                 return;
-            m_writing = false;
-            if (outcome.value) {
-                telemetry::logEvent(spdlog::level::info, "rollout_status_written",
-                    { { "service", status.service.value() }, { "version", status.target.value() },
-                        { "status", phaseText(status.phase) } });
-                if (m_fence)
-                    ++m_fence->sequence;
-                return m_parts.board.onStatus(status);
-            }
-            telemetry::logEvent(spdlog::level::warn, "rollout_status_refused",
-                { { "service", status.service.value() }, { "reason", outcome.reason } });
-            m_retryAt = m_parts.clock.now() + RETRY;
-            // Whether the call was done is not known: a new epoch makes its sequence number irrelevant.
-            m_fence.reset();
+            if (!outcome.value)
+                return onRefused("write", outcome.reason);
+            m_calling = false;
+            telemetry::logEvent(spdlog::level::info, "rollout_status_written",
+                { { "service", status.service.value() }, { "version", status.target.value() },
+                    { "status", phaseText(status.phase) } });
+            if (m_fence)
+                ++m_fence->sequence;
+            m_parts.board.onStatus(status);
         });
 }
 
+// Whether the call was done is not known: the next try begins with a claim of its own.
+void Conductor::onRefused(const char* call, const std::string& reason)
+{
+    telemetry::logEvent(spdlog::level::warn, "rollout_status_refused", { { "call", call }, { "reason", reason } });
+    m_calling = false;
+    m_retryAt = m_parts.clock.now() + RETRY;
+    m_fence.reset();
+}
+
 }
--- a/src/entry/internal/conductor.h
+++ b/src/entry/internal/conductor.h
@@ -8,6 +8,7 @@
 namespace fireflyhaven::entry {
 
 struct ConductorParts {
+    HostId host;
     const IClock& clock;
     const IWireCodec& codec;
     store::IRecordStore& store;
@@ -17,8 +18,9 @@
     rollout::RolloutBoard& board;
 };
 
-// Writes the status of roll-outs to the store while this host is the one that does so, under a fence that keeps an
-// earlier writer from writing after it.
+// Writes the status of roll-outs to the store while this host is the one that does so. A new writer first claims the
+// topic, so that an earlier one can write no more, then reads what that one has written, and writes only what is
+// missing.
 class Conductor {
 public:
     explicit Conductor(ConductorParts parts);
@@ -35,12 +37,21 @@
     // What all hosts have under way there.
     int inFlightAt(const UpstreamId& id) const;
     int oldInFlight(const ServiceName& service) const;
+    bool isStatusDue(TimePoint now) const;
+    std::uint64_t nextEpoch() const;
+    void claim();
+    void readStatuses();
     void write(const catalog::RolloutStatus& status);
+    void onRefused(const char* call, const std::string& reason);
 
     ConductorParts m_parts;
-    // No value while this host is not the writer.
+    // Set once an earlier writer can write no more and what it wrote is known here; no value while this host is not the
+    // writer.
     std::optional<store::Fence> m_fence;
-    bool m_writing = false;
+    // A call to the store is under way.
+    bool m_calling = false;
+    // Claimed, while the statuses are read.
+    store::Fence m_claimed;
     TimePoint m_retryAt {};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -73,7 +73,8 @@
               .listener = *this })
         , m_link(loop, clock, m_settings, store, *this)
         , m_named(m_settings.frontend)
-        , m_conductor({ .clock = clock,
+        , m_conductor({ .host = m_settings.host,
+              .clock = clock,
               .codec = codec,
               .store = store,
               .catalog = m_catalog,
@@ -329,7 +330,8 @@
     // The host that writes the status of roll-outs.
     bool isWriter(TimePoint now) const
     {
-        if (!m_sync.reachesStore())
+        // The others count neither a host that leaves nor one that can't write.
+        if (!m_sync.reachesStore() || !takesCallers())
             return false;
         if (m_link.hosts().isLayered()) {
             const std::vector<HostId> readers = m_link.hosts().storeReaders(now);
--- a/tests/entry/memorystore.h
+++ b/tests/entry/memorystore.h
@@ -16,6 +16,8 @@
 // Records that all hosts of a test share.
 struct SharedRecords {
     std::map<store::Topic, std::vector<store::KeyedRecord>> topics;
+    // Highest epoch that was seen of each producer.
+    std::map<std::string, std::uint64_t> epochs;
 };
 
 // One host's way to the shared records; may be cut.
@@ -52,18 +54,32 @@
         });
     }
 
-    void put(store::Topic topic, const store::KeyedRecord& record, const std::optional<store::Fence>&,
+    void put(store::Topic topic, const store::KeyedRecord& record, const std::optional<store::Fence>& fence,
         store::OnOutcome<std::uint64_t> done) override
     {
         ++m_calls;
-        boost::asio::post(m_loop, [this, topic, record, done = std::move(done)] {
+        boost::asio::post(m_loop, [this, topic, record, fence, done = std::move(done)] {
             if (!reachable)
                 return done(store::Outcome<std::uint64_t>::failed(store::StoreError::NotDone, "cut off"));
+            if (fence && !isCurrent(*fence))
+                return done(store::Outcome<std::uint64_t>::failed(store::StoreError::ConditionFailed, "fenced"));
             m_shared.topics[topic].push_back(record);
             done({ .value = m_shared.topics[topic].size() - 1 });
         });
     }
 
+    void claim(store::Topic topic, const store::Fence& fence, store::OnOutcome<std::uint64_t> done) override
+    {
+        ++m_calls;
+        boost::asio::post(m_loop, [this, topic, fence, done = std::move(done)] {
+            if (!reachable)
+                return done(store::Outcome<std::uint64_t>::failed(store::StoreError::NotDone, "cut off"));
+            if (!isCurrent(fence))
+                return done(store::Outcome<std::uint64_t>::failed(store::StoreError::ConditionFailed, "fenced"));
+            done({ .value = m_shared.topics[topic].size() });
+        });
+    }
+
     std::uint64_t calls() const override { return m_calls; }
 
     bool reachable = true;
@@ -71,6 +87,15 @@
 private:
     static constexpr Duration POLL { 10 };
 
+    bool isCurrent(const store::Fence& fence)
+    {
+        std::uint64_t& highest = m_shared.epochs[fence.producer];
+        if (fence.epoch < highest)
+            return false;
+        highest = fence.epoch;
+        return true;
+    }
+
     void answerRead(store::Topic topic, std::uint64_t offset, Duration wait, store::OnOutcome<store::RecordBatch> done)
     {
         const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop);
