Metrics page: delay of the event loop, age of what is known, and the exchange

Change: the tick observes how late it runs and how old the operator's records are; gauges for the exchange. Conclusion: a host that is too small for its work can be told by its metrics page.

--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -302,6 +302,7 @@
     void tick()
     {
         const TimePoint now = m_clock.now();
+        noteDelays(now);
         m_sync.tick(now);
         m_rollouts.tick(now);
         m_balancer.expire(now);
@@ -310,9 +311,19 @@
         if (now - m_beliefsLoggedAt >= BELIEFS_INTERVAL)
             logBeliefs(now);
         spdlog::default_logger()->flush();
+        m_tickDueAt = m_clock.now() + TICK;
         later(m_tickTimer, TICK, [this] { tick(); });
     }
 
+    // How late the loop is, and how old what it acts on.
+    void noteDelays(TimePoint now)
+    {
+        if (m_tickDueAt != TimePoint {})
+            m_metrics.observe("loop_delay", std::max(Duration(0), now - m_tickDueAt));
+        if (const auto confirmed = m_sync.operatorConfirmedAt())
+            m_metrics.observe("knowledge_age", now - *confirmed);
+    }
+
     void noteSharers(TimePoint now)
     {
         const int hosts = sharers(now);
@@ -410,6 +421,8 @@
     // Hosts that share limits, as of the last tick.
     int m_sharers = 1;
     TimePoint m_beliefsLoggedAt {};
+    // Zero before the first tick.
+    TimePoint m_tickDueAt {};
     // What the last report told of each upstream.
     std::map<fleet::ShortHash, fleet::UpstreamCounters> m_reported;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/entry/internal/statuspages.cpp
+++ b/src/entry/internal/statuspages.cpp
@@ -54,6 +54,9 @@
             "configuration_age_seconds", static_cast<double>((now - *confirmed).count()) * SECONDS_PER_MILLISECOND);
     metrics.set("store_reachable", m_parts.sync.reachesStore() ? 1 : 0);
     metrics.set("store_calls", static_cast<double>(m_parts.store.calls()));
+    metrics.set("exchange_layered", m_parts.link.hosts().isLayered() ? 1 : 0);
+    metrics.set("exchange_aggregator", m_parts.link.exchange().isAggregator() ? 1 : 0);
+    metrics.set("reports_sent", static_cast<double>(m_parts.link.datagramsSent()));
     metrics.set("report_bytes_sent", static_cast<double>(m_parts.link.bytesSent()));
     metrics.set("upstream_connections_opened", static_cast<double>(m_parts.client.connectionsOpened()));
 }
--- a/tests/entry/entryhost_test.cpp
+++ b/tests/entry/entryhost_test.cpp
@@ -317,6 +317,12 @@
              "fireflyhaven_requests_total{route=\"none\",outcome=\"rejected\"} 1",
              "fireflyhaven_configuration_version 3", "fireflyhaven_upstreams 1", "fireflyhaven_store_reachable 1" })
         cr_assert(metrics.find("\n" + line + "\n") != std::string::npos, "%s", line.c_str());
+    for (const std::string name : { "fireflyhaven_loop_delay_seconds_count ", "fireflyhaven_exchange_layered 0",
+             "fireflyhaven_knowledge_age_seconds_count " }) {
+        const auto isServed
+            = [&] { return it.call(*it.hosts[0].settings.metrics, "/metrics").find("\n" + name) != std::string::npos; };
+        it.await(isServed, name.c_str());
+    }
     const std::string answer = it.call(*it.hosts[0].settings.metrics, "/state");
     const json state = json::parse(answer.substr(answer.find("\r\n\r\n") + 4));
     cr_assert(state["configuration"] == 3 && state["upstreams"][0]["upstream"] == "u-1");
