--- a/src/entry/internal/conductor.cpp
+++ b/src/entry/internal/conductor.cpp
@@ -25,7 +25,7 @@
 }
 }
 
-Conductor::Conductor(ConductorParts parts)
+Conductor::Conductor(const ConductorParts& parts)
     : m_parts(parts)
 {
 }
--- a/src/entry/internal/conductor.h
+++ b/src/entry/internal/conductor.h
@@ -23,7 +23,7 @@
 // missing.
 class Conductor {
 public:
-    explicit Conductor(ConductorParts parts);
+    explicit Conductor(const ConductorParts& parts);
     ~Conductor();
     Conductor(const Conductor&) = delete;
     Conductor& operator=(const Conductor&) = delete;
