A version without a proof moves as late as its bound of exposure asks; a trial takes a part of that bound

The bound was a setting that nothing read. Change: the bound is divided: 0.38 of it for the trial, 0.15 and the slack for the proof, 0.32 for a version that moves without a proof, which sets the moment of its move. The status is written 0.6 s before the order's end instead of 1.2 s. Conclusion: the bound holds by construction; finding such a version needs more requests than the bound leaves on these sites.

--- a/include/fireflyhaven/rollout/rolloutboard.h
+++ b/include/fireflyhaven/rollout/rolloutboard.h
@@ -9,10 +9,18 @@
 namespace fireflyhaven::rollout {
 
 struct RolloutOptions {
-    // Share of the sessions that try a new version. Stays well under the share that a bad one may get.
-    double trialShare = 0.11;
-    // The same where many hosts serve many sessions: fewer tell enough, and hosts have to agree on each of them.
-    double trialShareOfMany = 0.04;
+    // Share of a service's requests that a bad version may get, over the time of its order.
+    double exposureRatio = 0.15;
+    // Requests that it may get beyond that.
+    int exposureSlack = 30;
+    // Part of it that the trial takes, as a share of the sessions.
+    double trialPartOfExposure = 0.38;
+    // Part of it that the proof under load takes, beside the slack.
+    double proofPartOfExposure = 0.15;
+    // Part of it that the move of a version without a proof may take until the order's end.
+    double unprovedPartOfExposure = 0.32;
+    // Most of the sessions that try a version where many hosts serve them: hosts have to agree on each of them.
+    double mostTrialShareOfMany = 0.04;
     // Sessions at work when the order came stay where they are; so long passes until their list has gone round.
     Duration settling { 1000 };
     // A session is at work until this time after its last request ended.
@@ -21,19 +29,17 @@
     double trialPart = 0.5;
     // The same for a version that looks slow, without certainty.
     double longestTrialPart = 0.72;
-    // Part of the order's time after which the proof under load ends, whatever it has shown.
-    double provingEndPart = 0.78;
     // Part of an upstream's slots that is put to use for that: what each upstream of the version would bear in a peak
     // if it served all requests, within these limits. Good answers under load that prove the version.
     double peakFactor = 1.4;
-    double provingLoad = 0.62;
+    double provingLoad = 0.72;
     double mostProvingLoad = 0.95;
     std::uint32_t provingAnswers = 16;
-    // Share of the sessions that moves first, and for how long.
+    // Share of the sessions that moves to a proved version first, and for how long.
     double wideningShare = 0.35;
     Duration widening { 1000 };
     // Before the order's end the status is written even if some requests still run on the old version.
-    Duration lastMoment { 1200 };
+    Duration lastMoment { 600 };
     // Part of the old version's slots that the new one needs before sessions move.
     double leastCapacity = 0.5;
     // A version that appears without an order gets nothing for this long: its order may be on its way.
@@ -141,7 +147,14 @@
         VersionCapacity capacity;
         // When the proof under load began, and when sessions began to move; no value before.
         std::optional<TimePoint> provingSince;
+        // Answers a second that the trial gave, those before the proof, and requests that the proof may take beside the
+        // trial's; all of them on all hosts.
+        double trialRate = 0;
+        std::uint32_t answersBeforeProof = 0;
+        double mostRequestsInProof = 0;
         std::optional<TimePoint> movingSince;
+        // Whether it was proved before that.
+        bool proved = false;
         VersionJudge judge;
         // The stage that was last written to the log.
         std::optional<Stage> notedStage;
@@ -151,17 +164,25 @@
     static bool isInRange(const Rollout& it, std::uint64_t sessionHash, double share);
     static Duration partOfOrder(const Rollout& it, double part);
     Stage stage(const Rollout& it, TimePoint now) const;
+    // Share of the sessions that try a version whose order comes now.
+    double trialShare() const;
     // Share of the sessions that a stage gives to the new version.
     double shareOf(const Rollout& it, Stage stage) const;
     bool targetServes(const Rollout& it, std::uint64_t sessionHash, TimePoint now) const;
     // Part of the slots of the upstream that proves the version that is to be in use.
     double provingLoadOf(const Rollout& it) const;
     bool mayProve(const Rollout& it, RequestWeight weight, TimePoint now) const;
+    // Requests of the proof so far, answered or not.
+    static double requestsInProof(const Rollout& it, TimePoint now);
     bool mayEndTrial(const Rollout& it, TimePoint now) const;
     void endTrial(Rollout& it, TimePoint now);
+    void beginProof(Rollout& it, TimePoint now) const;
     // Lets sessions move where the version is proved or time is up, unless its answers under load speak against it.
     void endProof(Rollout& it, TimePoint now);
-    bool mayMove(const Rollout& it, TimePoint now) const;
+    bool isProved(const Rollout& it) const;
+    // Age of an order at which a version without a proof moves: what it may get until the order's end keeps the bound
+    // of exposure, also where it is bad and nothing has shown that.
+    Duration unprovedMoveAge(const Rollout& it) const;
     void judge(const Rollout& it, TimePoint now);
     void noteStage(Rollout& it, TimePoint now) const;
     void reject(const ServiceName& service, const catalog::SoftwareVersion& version, std::string_view reason);
--- a/include/fireflyhaven/rollout/versionjudge.h
+++ b/include/fireflyhaven/rollout/versionjudge.h
@@ -68,6 +68,8 @@
 struct AnswerTotals {
     std::uint32_t good = 0;
     std::uint32_t failed = 0;
+
+    std::uint32_t sum() const { return good + failed; }
 };
 
 // Judges one version by the answers that all hosts see: failures by a sequential test on each route, times by comparing
@@ -106,7 +108,7 @@
         const OldAnswers& old);
 
     fleet::ShortHash m_rollout;
-    // Answers at this part of the slots or more count as under load.
+    // Good answers at this part of the slots or more count as under load.
     double m_loadedFrom = 0.5;
     ByRoute m_own;
     std::map<HostId, ByRoute> m_others;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -44,7 +44,12 @@
         { .ratio = bounds.retryRatio, .slack = bounds.retrySlack, .window = bounds.retryWindow }, hosts);
 }
 
-rollout::RolloutOptions rolloutOptions(const ServiceBounds& bounds) { return { .session = bounds.session }; }
+rollout::RolloutOptions rolloutOptions(const ServiceBounds& bounds)
+{
+    return { .exposureRatio = bounds.exposureRatio,
+        .exposureSlack = static_cast<int>(bounds.exposureSlack),
+        .session = bounds.session };
+}
 
 class AsioEntryHost final : public EntryHost, public IHostView, public ICatalogListener, public fleet::IReportPart {
 public:
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -12,6 +12,8 @@
 // Hosts learn of an order at different moments.
 constexpr Duration TRIAL_MARGIN { 400 };
 
+double secondsOf(Duration it) { return std::chrono::duration<double>(it).count(); }
+
 fleet::ShortHash hashOf(std::string_view text) { return static_cast<fleet::ShortHash>(stableHash(text)); }
 
 }
@@ -72,7 +74,7 @@
     if (known != m_rollouts.end() && known->second.order.target == order.target)
         return;
     Rollout it(order, now);
-    it.trialShare = m_manyHosts ? m_options.trialShareOfMany : m_options.trialShare;
+    it.trialShare = trialShare();
     it.rejected = isRejected(order.service, order.target);
     m_rollouts.insert_or_assign(order.service, std::move(it));
     const auto status = m_statuses.find(order.service);
@@ -123,10 +125,16 @@
     if (now - it.learnedAt < m_options.settling)
         return Stage::Settling;
     if (it.movingSince)
-        return now - *it.movingSince < m_options.widening ? Stage::Widening : Stage::Replacing;
+        return it.proved && now - *it.movingSince < m_options.widening ? Stage::Widening : Stage::Replacing;
     return it.provingSince ? Stage::Proving : Stage::Trial;
 }
 
+double RolloutBoard::trialShare() const
+{
+    const double share = m_options.trialPartOfExposure * m_options.exposureRatio;
+    return m_manyHosts ? std::min(share, m_options.mostTrialShareOfMany) : share;
+}
+
 double RolloutBoard::shareOf(const Rollout& it, Stage stage) const
 {
     switch (stage) {
@@ -175,8 +183,10 @@
     const bool full = capacity.provingInFlight >= provingLoadOf(it) * capacity.provingSlots;
     if (stage(it, now) != Stage::Proving || !capacity.provingUpstream || full || weight == RequestWeight::Heavy)
         return false;
+    if (requestsInProof(it, now) >= it.mostRequestsInProof)
+        return false;
     // Short requests are many for the load that they make: they help only where the long ones do not suffice.
-    const TimePoint end = it.learnedAt + partOfOrder(it, m_options.provingEndPart);
+    const TimePoint end = it.learnedAt + unprovedMoveAge(it);
     const bool halfOver = now - *it.provingSince > end - now;
     return weight == RequestWeight::QuickAndLong || halfOver;
 }
@@ -383,16 +393,35 @@
     if (it.judge.times(m_oldAnswers).verdict == quality::TimeVerdict::Unsure)
         reject(it.order.service, it.order.target, "it still looked slow when its trial had to end");
     else
-        it.provingSince = now;
+        beginProof(it, now);
 }
 
-bool RolloutBoard::mayMove(const Rollout& it, TimePoint now) const
+void RolloutBoard::beginProof(Rollout& it, TimePoint now) const
 {
-    if (!it.provingSince)
-        return false;
-    // Where the requests are too few to put an upstream under load, the proof ends without a result.
-    const bool outOfTime = now - it.learnedAt >= partOfOrder(it, m_options.provingEndPart);
-    return outOfTime || it.judge.underLoad(m_oldAnswers).prove(m_options.provingAnswers);
+    it.provingSince = now;
+    it.answersBeforeProof = it.judge.totals().sum();
+    it.trialRate = it.answersBeforeProof / std::max(1., secondsOf(now - it.learnedAt - m_options.settling));
+    // The answers of the trial tell how many requests the service will have had at the order's end.
+    const double expected = it.trialRate / it.trialShare * secondsOf(it.order.duration);
+    it.mostRequestsInProof
+        = m_options.exposureSlack + m_options.proofPartOfExposure * m_options.exposureRatio * expected;
+}
+
+double RolloutBoard::requestsInProof(const Rollout& it, TimePoint now)
+{
+    const double answers = it.judge.totals().sum() - it.answersBeforeProof;
+    return answers + it.capacity.provingInFlight - it.trialRate * secondsOf(now - *it.provingSince);
+}
+
+Duration RolloutBoard::unprovedMoveAge(const Rollout& it) const
+{
+    const Duration allowed = partOfOrder(it, m_options.unprovedPartOfExposure * m_options.exposureRatio);
+    return it.order.duration - std::max(m_options.lastMoment, allowed);
+}
+
+bool RolloutBoard::isProved(const Rollout& it) const
+{
+    return it.provingSince && it.judge.underLoad(m_oldAnswers).prove(m_options.provingAnswers);
 }
 
 void RolloutBoard::tick(TimePoint now)
@@ -410,7 +439,9 @@
 void RolloutBoard::endProof(Rollout& it, TimePoint now)
 {
     const LoadedAnswers underLoad = it.judge.underLoad(m_oldAnswers);
-    const bool over = mayMove(it, now);
+    const bool proved = isProved(it);
+    // Where the requests are too few to put an upstream under load, the proof ends without a result.
+    const bool over = proved || now - it.learnedAt >= unprovedMoveAge(it);
     if (underLoad.disprove()) {
         if (over || underLoad.isCertain())
             reject(it.order.service, it.order.target, "it fails under load");
@@ -419,10 +450,10 @@
     if (!over)
         return;
     // Time is up: without a proof, more failures than the old version has speak against it.
-    if (!underLoad.prove(m_options.provingAnswers) && underLoad.isSuspect())
-        reject(it.order.service, it.order.target, "it failed under load and was not proved in time");
-    else
-        it.movingSince = now;
+    if (!proved && underLoad.isSuspect())
+        return reject(it.order.service, it.order.target, "it failed under load and was not proved in time");
+    it.proved = proved;
+    it.movingSince = now;
 }
 
 void RolloutBoard::noteStage(Rollout& it, TimePoint now) const
