A source of the store's records that fails is replaced by the next one; hosts share their tries of a lost store

While the store is away each host tried it every 1.5 s. Change: in the exchange of two levels the first two hosts of a data centre read for themselves as soon as their source fails; the others ask up to three other sources first, and share their tries of the store: one in 1.5 s for each four hosts at once. Conclusion: a lost reader or store is no longer answered by all hosts.

--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -123,12 +123,12 @@
 void CatalogSync::request(Feed& feed, const store::FeedRequest& request, const std::optional<HostId>& source)
 {
     const bool fromStore = !source;
-    const auto finish = [this, &feed, fromStore](const auto& outcome, auto&& onValue) {
+    const auto finish = [this, &feed, source](const auto& outcome, auto&& onValue) {
         const TimePoint now = m_parts.clock.now();
         const bool tooOld
             = outcome.value && outcome.value->sourceAge > timing().oldestFromHost(feed.topic, followsOverTwoSteps());
         if (!outcome.value || tooOld)
-            onFailed(feed, fromStore, outcome.value ? store::StoreError::NotDone : outcome.error,
+            onFailed(feed, source, outcome.value ? store::StoreError::NotDone : outcome.error,
                 tooOld ? "the other host's knowledge is old" : outcome.reason);
         else
             onValue(*outcome.value, now);
@@ -172,7 +172,8 @@
         telemetry::logEvent(spdlog::level::info, "store_regained");
 }
 
-void CatalogSync::onFailed(Feed& feed, bool fromStore, store::StoreError error, const std::string& reason)
+void CatalogSync::onFailed(
+    Feed& feed, const std::optional<HostId>& source, store::StoreError error, const std::string& reason)
 {
     const TimePoint now = m_parts.clock.now();
     feed.state.onFailed(error, now);
@@ -180,17 +181,17 @@
         telemetry::logEvent(spdlog::level::info, "store_history_lost", { { "topic", topicText(feed.topic) } });
         return;
     }
-    if (!fromStore) {
-        telemetry::logEvent(
-            spdlog::level::info, "relay_lost", { { "topic", topicText(feed.topic) }, { "reason", reason } });
-        m_choice.onPeerFailed(now);
-        if (m_choice.readsOwn(now))
+    const fleet::HostTable* hosts = m_parts.hosts();
+    if (source) {
+        telemetry::logEvent(spdlog::level::info, "relay_lost",
+            { { "topic", topicText(feed.topic) }, { "from", source->value() }, { "reason", reason } });
+        m_choice.onPeerFailed(*hosts, *source, now);
+        if (m_choice.source(*hosts, now) != source)
             feed.state.hurry(now);
         return;
     }
     m_choice.onStoreRead(false, now);
     // Another host may know what this one just failed to read.
-    const fleet::HostTable* hosts = m_parts.hosts();
     if (hosts && m_choice.source(*hosts, now))
         feed.state.hurry(now);
     if (!std::exchange(m_storeLost, true))
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -72,7 +72,7 @@
     bool followsOverTwoSteps() const;
     store::ReadTiming timing() const;
     void request(Feed& feed, const store::FeedRequest& request, const std::optional<HostId>& source);
-    void onFailed(Feed& feed, bool fromStore, store::StoreError error, const std::string& reason);
+    void onFailed(Feed& feed, const std::optional<HostId>& source, store::StoreError error, const std::string& reason);
     void onSucceeded(Feed& feed, bool fromStore);
     void take(Feed& feed, store::FeedUpdate update);
     // Whether the record said anything new.
--- a/src/store/internal/readerchoice.cpp
+++ b/src/store/internal/readerchoice.cpp
@@ -1,5 +1,7 @@
 #include "fireflyhaven/store/readerchoice.h"
 
+#include <algorithm>
+
 namespace fireflyhaven::store {
 
 ReaderChoice::ReaderChoice(ReaderChoiceOptions options)
@@ -9,8 +11,7 @@
 
 std::optional<HostId> ReaderChoice::source(const fleet::HostTable& hosts, TimePoint now) const
 {
-    const bool tryStore = !m_reachesStore && now - m_triedAt >= m_options.storeRetry;
-    if (now < m_readOwnUntil || tryStore)
+    if (now < m_readOwnUntil || (!m_reachesStore && mayTryStore(hosts, now)))
         return std::nullopt;
     if (hosts.isLayered())
         return sourceOfMany(hosts, now);
@@ -29,13 +30,14 @@
 
 std::optional<HostId> ReaderChoice::sourceOfMany(const fleet::HostTable& hosts, TimePoint now) const
 {
-    const std::vector<HostId> readers = hosts.storeReaders(now);
+    std::vector<HostId> readers = hosts.storeReaders(now);
+    std::erase_if(readers, [&](const HostId& it) { return hasFailed(it, now); });
     if (readers.empty())
         return std::nullopt;
     const HostId& first = fleet::firstByRendezvous(readers, "reader of the store");
     for (const HostId& it : hosts.ranked(hosts.ownDataCentre(), now)) {
         const bool reads = it == hosts.self() ? m_reachesStore : hosts.reachesStore(it);
-        if (!reads)
+        if (!reads || hasFailed(it, now))
             continue;
         if (it != hosts.self())
             return it;
@@ -54,7 +56,41 @@
 
 bool ReaderChoice::mustWait(const fleet::HostTable& hosts, TimePoint now) const
 {
-    return now < m_aloneUntil && hosts.live(now).empty();
+    if (now < m_aloneUntil && hosts.live(now).empty())
+        return true;
+    if (!hosts.isLayered() || now < m_readOwnUntil || mayTryStore(hosts, now))
+        return false;
+    return !m_reachesStore || (haveSourcesFailed(now) && !isSubstitute(hosts, now));
+}
+
+bool ReaderChoice::hasFailed(const HostId& source, TimePoint now) const
+{
+    const auto it = m_failedSources.find(source);
+    return it != m_failedSources.end() && now < it->second;
+}
+
+bool ReaderChoice::haveSourcesFailed(TimePoint now) const
+{
+    const auto failed = std::count_if(
+        m_failedSources.begin(), m_failedSources.end(), [&](const auto& it) { return now < it.second; });
+    return static_cast<std::size_t>(failed) >= m_options.mostFailedSources;
+}
+
+bool ReaderChoice::isSubstitute(const fleet::HostTable& hosts, TimePoint now) const
+{
+    const std::vector<HostId> ranked = hosts.ranked(hosts.ownDataCentre(), now);
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), m_options.substitutes));
+    return ranked.empty() || std::find(ranked.begin(), end, hosts.self()) != end;
+}
+
+bool ReaderChoice::mayTryStore(const fleet::HostTable& hosts, TimePoint now) const
+{
+    Duration::rep factor = 1;
+    if (hosts.isLayered() && !isSubstitute(hosts, now)) {
+        const std::size_t sharers = hosts.ranked(hosts.ownDataCentre(), now).size();
+        factor = static_cast<Duration::rep>(std::max<std::size_t>(1, sharers / m_options.hostsTrying));
+    }
+    return now - m_triedAt >= m_options.storeRetry * factor;
 }
 
 void ReaderChoice::onStoreRead(bool succeeded, TimePoint now)
@@ -65,9 +101,17 @@
         m_readOwnUntil = {};
 }
 
-void ReaderChoice::onPeerFailed(TimePoint now)
+void ReaderChoice::onPeerFailed(const fleet::HostTable& hosts, const HostId& source, TimePoint now)
 {
-    if (m_reachesStore && now >= m_patientUntil)
+    if (!m_reachesStore || now < m_patientUntil)
+        return;
+    if (!hosts.isLayered()) {
+        m_readOwnUntil = now + m_options.ownReading;
+        return;
+    }
+    std::erase_if(m_failedSources, [&](const auto& it) { return it.second <= now; });
+    m_failedSources.insert_or_assign(source, now + m_options.ownReading);
+    if (isSubstitute(hosts, now) || (haveSourcesFailed(now) && mayTryStore(hosts, now)))
         m_readOwnUntil = now + m_options.ownReading;
 }
 
--- a/src/store/tests/readerchoice_test.cpp
+++ b/src/store/tests/readerchoice_test.cpp
@@ -63,7 +63,7 @@
         ReaderChoice it;
         if (!it.source(fleet.seenBy(n, START), START))
             continue;
-        it.onPeerFailed(START);
+        it.onPeerFailed(fleet.seenBy(n, START), *it.source(fleet.seenBy(n, START), START), START);
         cr_assert_not(it.source(fleet.seenBy(n, START), START + Duration(1999)).has_value());
         cr_assert(it.source(fleet.seenBy(n, START + Duration(2000)), START + Duration(2000)).has_value());
     }
@@ -84,14 +84,13 @@
 
 namespace {
 
-// Hosts of several data centres, many of them, as one sees them.
-fleet::HostTable manySeenBy(int dataCentre, int host, int dataCentres, int hostsInEach)
+HostId nameOf(int dataCentre, int host)
+{
+    return HostId("h-" + std::to_string(dataCentre) + "-" + std::to_string(host));
+}
+
+void hearAll(fleet::HostTable& table, int dataCentres, int hostsInEach, bool reachStore, TimePoint now)
 {
-    const auto nameOf = [](int place, int n) { return HostId("h-" + std::to_string(place) + "-" + std::to_string(n)); };
-    fleet::HostTable table(
-        nameOf(dataCentre, host), { .dataCentre = DataCentreId("dc" + std::to_string(dataCentre)), .capacity = 120 });
-    table.setOwnState({ .takesCallers = true, .reachesStore = true });
-    table.setLayered(true);
     for (int place = 0; place < dataCentres; ++place) {
         fleet::Roster roster { .dataCentre = DataCentreId("dc" + std::to_string(place)) };
         for (int n = 0; n < hostsInEach; ++n) {
@@ -100,10 +99,20 @@
                 .peerAddress = { .ip = "10.0." + std::to_string(place) + "." + std::to_string(n + 1), .port = 7000 },
                 .capacity = 120,
                 .takesCallers = true,
-                .reachesStore = true });
+                .reachesStore = reachStore });
         }
-        table.onRoster(roster, START);
+        table.onRoster(roster, now);
     }
+}
+
+// Hosts of several data centres, many of them, as one sees them.
+fleet::HostTable manySeenBy(int dataCentre, int host, int dataCentres, int hostsInEach, bool reachStore = true)
+{
+    fleet::HostTable table(
+        nameOf(dataCentre, host), { .dataCentre = DataCentreId("dc" + std::to_string(dataCentre)), .capacity = 120 });
+    table.setOwnState({ .takesCallers = true, .reachesStore = reachStore });
+    table.setLayered(true);
+    hearAll(table, dataCentres, hostsInEach, reachStore, START);
     return table;
 }
 
@@ -129,6 +138,63 @@
     cr_assert_eq(sources.size(), DATA_CENTRES, "each data centre has one that the others read from");
 }
 
+// Pattern: the host that a data centre reads from is killed; the store must not be called by each of the others.
+Test(readerchoice, ofManyHostsFewReadTheStoreWhereTheirSourceIsLost)
+{
+    constexpr int HOSTS = 59;
+    std::vector<ReaderChoice> choices(HOSTS);
+    std::optional<HostId> lost;
+    int ownReaders = 0;
+    for (int n = 0; n < HOSTS; ++n) {
+        const fleet::HostTable table = manySeenBy(1, n, 5, HOSTS);
+        ReaderChoice& it = choices[static_cast<std::size_t>(n)];
+        const auto source = it.source(table, START);
+        if (!source)
+            continue;
+        it.onPeerFailed(table, *source, START);
+        const auto next = it.source(table, START + Duration(100));
+        cr_assert(next != source, "the lost host is not asked again");
+        ownReaders += next ? 0 : 1;
+    }
+    cr_assert_leq(ownReaders, 2, "%d hosts read the store", ownReaders);
+}
+
+// Pattern: the store is away for all; tries must not grow with the hosts (a large site's day with its store down).
+Test(readerchoice, ofManyHostsFewTryAStoreThatIsLost)
+{
+    constexpr int HOSTS = 59;
+    constexpr Duration OUTAGE { 15'000 };
+    int tries = 0;
+    for (int n = 0; n < HOSTS; ++n) {
+        fleet::HostTable table = manySeenBy(1, n, 5, HOSTS, false);
+        ReaderChoice it;
+        for (Duration age { 0 }; age < OUTAGE; age += Duration(100)) {
+            const TimePoint now = START + age;
+            if (age % Duration(1000) == Duration(0))
+                hearAll(table, 5, HOSTS, false, now);
+            if (it.source(table, now) || it.mustWait(table, now))
+                continue;
+            it.onStoreRead(false, now);
+            ++tries;
+        }
+    }
+    // Each host finds out for itself, the first two go on, the others share their tries.
+    const int bound = HOSTS + 2 * static_cast<int>(OUTAGE / Duration(1500)) + HOSTS;
+    cr_assert_leq(tries, bound, "%d tries", tries);
+}
+
+Test(readerchoice, aHostThatSeveralSourcesFailReadsForItself)
+{
+    const fleet::HostTable table = manySeenBy(1, 7, 5, 40);
+    ReaderChoice it;
+    int failed = 0;
+    while (const auto source = it.source(table, START)) {
+        it.onPeerFailed(table, *source, START);
+        cr_assert_leq(++failed, 3);
+    }
+    cr_assert(it.readsOwn(START));
+}
+
 Test(readerchoice, aHostThatStartsWaitsForOthersAMomentOnly)
 {
     ReaderChoice it;
@@ -136,8 +202,8 @@
     const fleet::HostTable alone(HostId("h0"));
     cr_assert(it.mustWait(alone, START + Duration(399)));
     cr_assert_not(it.mustWait(alone, START + Duration(400)));
-    it.onPeerFailed(START + Duration(500));
+    it.onPeerFailed(alone, HostId("h1"), START + Duration(500));
     cr_assert_not(it.readsOwn(START + Duration(500)), "the other host may not have read anything yet");
-    it.onPeerFailed(START + Duration(1'200));
+    it.onPeerFailed(alone, HostId("h1"), START + Duration(1'200));
     cr_assert(it.readsOwn(START + Duration(1'200)));
 }
