A version without a proof moves by what is left of its bound; the status is written a second before the order's end

Change: the last moment is one second before the end; the move of an unproved version comes when what is left of the bound, by the requests that it had so far, lasts until the end; the slack stays for errors of the estimate.

--- a/include/fireflyhaven/rollout/rolloutboard.h
+++ b/include/fireflyhaven/rollout/rolloutboard.h
@@ -17,8 +17,8 @@
     double trialPartOfExposure = 0.38;
     // Part of it that the proof under load takes, beside the slack.
     double proofPartOfExposure = 0.15;
-    // Part of it that the move of a version without a proof may take until the order's end.
-    double unprovedPartOfExposure = 0.32;
+    // Part of what is left of it that the move of a version without a proof may take until the order's end.
+    double unprovedPartOfRest = 0.9;
     // Most of the sessions that try a version where many hosts serve them: hosts have to agree on each of them.
     double mostTrialShareOfMany = 0.04;
     // Sessions at work when the order came stay where they are; so long passes until their list has gone round.
@@ -38,8 +38,11 @@
     // Share of the sessions that moves to a proved version first, and for how long.
     double wideningShare = 0.35;
     Duration widening { 1000 };
-    // Before the order's end the status is written even if some requests still run on the old version.
-    Duration lastMoment { 600 };
+    // Before the order's end the status is written even if some requests still run on the old version. Hosts learn of
+    // an order some time after its beginning.
+    Duration lastMoment { 1000 };
+    // Requests on the old version have this long to end at most before that, once all others are on an unproved one.
+    Duration mostDrain { 1000 };
     // Part of the old version's slots that the new one needs before sessions move.
     double leastCapacity = 0.5;
     // A version that appears without an order gets nothing for this long: its order may be on its way.
@@ -172,7 +175,10 @@
     // Part of the slots of the upstream that proves the version that is to be in use.
     double provingLoadOf(const Rollout& it) const;
     bool mayProve(const Rollout& it, RequestWeight weight, TimePoint now) const;
-    // Requests of the proof so far, answered or not.
+    // Requests a second of the service, by the answers of the trial.
+    static double serviceRate(const Rollout& it) { return it.trialRate / it.trialShare; }
+    // Requests of the version so far, answered or not, and those of them that the proof took.
+    static double requestsOf(const Rollout& it);
     static double requestsInProof(const Rollout& it, TimePoint now);
     bool mayEndTrial(const Rollout& it, TimePoint now) const;
     void endTrial(Rollout& it, TimePoint now);
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -401,22 +401,30 @@
     it.provingSince = now;
     it.answersBeforeProof = it.judge.totals().sum();
     it.trialRate = it.answersBeforeProof / std::max(1., secondsOf(now - it.learnedAt - m_options.settling));
-    // The answers of the trial tell how many requests the service will have had at the order's end.
-    const double expected = it.trialRate / it.trialShare * secondsOf(it.order.duration);
+    const double expected = serviceRate(it) * secondsOf(it.order.duration);
     it.mostRequestsInProof
         = m_options.exposureSlack + m_options.proofPartOfExposure * m_options.exposureRatio * expected;
 }
 
+double RolloutBoard::requestsOf(const Rollout& it) { return it.judge.totals().sum() + it.capacity.provingInFlight; }
+
 double RolloutBoard::requestsInProof(const Rollout& it, TimePoint now)
 {
-    const double answers = it.judge.totals().sum() - it.answersBeforeProof;
-    return answers + it.capacity.provingInFlight - it.trialRate * secondsOf(now - *it.provingSince);
+    const double ofTrial = it.answersBeforeProof + it.trialRate * secondsOf(now - *it.provingSince);
+    return requestsOf(it) - ofTrial;
 }
 
 Duration RolloutBoard::unprovedMoveAge(const Rollout& it) const
 {
-    const Duration allowed = partOfOrder(it, m_options.unprovedPartOfExposure * m_options.exposureRatio);
-    return it.order.duration - std::max(m_options.lastMoment, allowed);
+    const Duration most = m_options.lastMoment + m_options.mostDrain;
+    const double rate = serviceRate(it);
+    if (rate <= 0)
+        return it.order.duration - most;
+    // The slack stays for what the rate, known from a few sessions, is wrong by.
+    const double bound = m_options.exposureRatio * rate * secondsOf(it.order.duration);
+    const double rest = std::max(0., bound - requestsOf(it)) * m_options.unprovedPartOfRest;
+    const auto allowed = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(rest / rate));
+    return it.order.duration - std::clamp(allowed, m_options.lastMoment, most);
 }
 
 bool RolloutBoard::isProved(const Rollout& it) const
