A host that is cut off from its sources reads the store for itself all the time

By the code: a host whose sources failed read for itself for 2 s and then had to wait for its shared turn, up to 22 s, though it reached the store itself. A test of that cut shows it. Change: failed sources are answered by own reads at any time; tries are shared only where nobody is known to reach the store. Test: aHostThatIsCutOffFromItsSourcesReadsForItselfAllTheTime, fails without the change. Conclusion: sharing is limited to a store that is lost for all.

--- a/src/store/internal/readerchoice.cpp
+++ b/src/store/internal/readerchoice.cpp
@@ -60,7 +60,7 @@
         return true;
     if (!hosts.isLayered() || now < m_readOwnUntil || mayTryStore(hosts, now))
         return false;
-    return !m_reachesStore || (haveSourcesFailed(now) && !isSubstitute(hosts, now));
+    return !m_reachesStore;
 }
 
 bool ReaderChoice::hasFailed(const HostId& source, TimePoint now) const
@@ -86,7 +86,8 @@
 bool ReaderChoice::mayTryStore(const fleet::HostTable& hosts, TimePoint now) const
 {
     Duration::rep factor = 1;
-    if (hosts.isLayered() && !isSubstitute(hosts, now)) {
+    // Where others are known to reach the store, the fault may be this host's own, and its tries are not shared.
+    if (hosts.isLayered() && !isSubstitute(hosts, now) && hosts.storeReaders(now).empty()) {
         const std::size_t sharers = hosts.ranked(hosts.ownDataCentre(), now).size();
         factor = static_cast<Duration::rep>(std::max<std::size_t>(1, sharers / m_options.hostsTrying));
     }
@@ -111,7 +112,7 @@
     }
     std::erase_if(m_failedSources, [&](const auto& it) { return it.second <= now; });
     m_failedSources.insert_or_assign(source, now + m_options.ownReading);
-    if (isSubstitute(hosts, now) || (haveSourcesFailed(now) && mayTryStore(hosts, now)))
+    if (isSubstitute(hosts, now) || haveSourcesFailed(now))
         m_readOwnUntil = now + m_options.ownReading;
 }
 
--- a/src/store/tests/readerchoice_test.cpp
+++ b/src/store/tests/readerchoice_test.cpp
@@ -195,6 +195,31 @@
     cr_assert(it.readsOwn(START));
 }
 
+// Pattern: a host is cut off from the hosts that it reads from for seconds, and reaches the store all the time
+// (vitalkor-routing-grown, revocation-during-cuts, seed 904468461611: it held an old configuration for over 3 s).
+Test(readerchoice, aHostThatIsCutOffFromItsSourcesReadsForItselfAllTheTime)
+{
+    fleet::HostTable table = manySeenBy(1, 7, 5, 40);
+    ReaderChoice it;
+    Duration longest {};
+    TimePoint readAt = START;
+    for (Duration age { 0 }; age < Duration(12'000); age += Duration(50)) {
+        const TimePoint now = START + age;
+        hearAll(table, 5, 40, true, now);
+        if (const auto source = it.source(table, now)) {
+            it.onPeerFailed(table, *source, now);
+            continue;
+        }
+        if (it.mustWait(table, now))
+            continue;
+        longest = std::max(longest, now - readAt);
+        readAt = now;
+        it.onStoreRead(true, now);
+    }
+    cr_assert_lt(longest.count(), 1500, "%lld ms", static_cast<long long>(longest.count()));
+    cr_assert(START + Duration(12'000) - readAt < Duration(1500));
+}
+
 Test(readerchoice, aHostThatStartsWaitsForOthersAMomentOnly)
 {
     ReaderChoice it;
