All sessions move as late as the bound of exposure asks, after a proof too; the widening stage is gone

The version failed at no load that it met, neither in the proof nor with all requests. Ruled out: a proof at a higher load, since the upstream of the proof had 39 requests on 32 slots and none of its answers failed. Change: a proof no longer lifts the bound; the move comes when what is left of it lasts until the order's end. A proof only takes a version back. The trial takes 3 % of the sessions with many hosts instead of 4 %, so that the last second fits. The stage 'widening' and its options are gone. Test: aVersionThatBearsTheLoadReplacesTheOldOneWithinTheBoundOfExposure fails without (273 of 1,091 where 193 are allowed); it replaces the check that a proved version has all requests three seconds before the end, which contradicts the bound.

--- a/include/fireflyhaven/rollout/rolloutboard.h
+++ b/include/fireflyhaven/rollout/rolloutboard.h
@@ -17,10 +17,10 @@
     double trialPartOfExposure = 0.38;
     // Part of it that the proof under load takes, beside the slack.
     double proofPartOfExposure = 0.15;
-    // Part of what is left of it that the move of a version without a proof may take until the order's end.
-    double unprovedPartOfRest = 0.9;
+    // Part of what is left of it that the move of all sessions may take until the order's end.
+    double movePartOfRest = 0.9;
     // Most of the sessions that try a version where many hosts serve them: hosts have to agree on each of them.
-    double mostTrialShareOfMany = 0.04;
+    double mostTrialShareOfMany = 0.03;
     // Sessions at work when the order came stay where they are; so long passes until their list has gone round.
     Duration settling { 1000 };
     // A session is at work until this time after its last request ended.
@@ -35,13 +35,10 @@
     double provingLoad = 0.72;
     double mostProvingLoad = 0.95;
     std::uint32_t provingAnswers = 16;
-    // Share of the sessions that moves to a proved version first, and for how long.
-    double wideningShare = 0.35;
-    Duration widening { 1000 };
     // Before the order's end the status is written even if some requests still run on the old version. Hosts learn of
     // an order some time after its beginning.
     Duration lastMoment { 1000 };
-    // Requests on the old version have this long to end at most before that, once all others are on an unproved one.
+    // Requests on the old version have this long to end at most before that, once all others are on the new one.
     Duration mostDrain { 1000 };
     // Part of the old version's slots that the new one needs before sessions move.
     double leastCapacity = 0.5;
@@ -56,8 +53,6 @@
     Trial,
     // One upstream of the new version is put under load.
     Proving,
-    // More sessions move.
-    Widening,
     // All sessions are on the new version; the old one finishes its requests.
     Replacing,
     Completed,
@@ -97,8 +92,8 @@
     int inFlight = 0;
 };
 
-// Moves services to new versions: tries a version with few sessions, judges it by the answers that all hosts see,
-// proves it under load, moves the others in the second half of the order's time, and takes a bad version back at once.
+// Moves services to new versions: tries a version with few sessions, judges it by the answers that all hosts see, puts
+// it under load, moves the others at the end of the order's time, and takes a bad version back at once.
 // Each host decides alike from the order and the reports; one writes the status. Does no I/O.
 class RolloutBoard {
 public:
@@ -156,8 +151,6 @@
         std::uint32_t answersBeforeProof = 0;
         double mostRequestsInProof = 0;
         std::optional<TimePoint> movingSince;
-        // Whether it was proved before that.
-        bool proved = false;
         VersionJudge judge;
         // The stage that was last written to the log.
         std::optional<Stage> notedStage;
@@ -183,12 +176,13 @@
     bool mayEndTrial(const Rollout& it, TimePoint now) const;
     void endTrial(Rollout& it, TimePoint now);
     void beginProof(Rollout& it, TimePoint now) const;
-    // Lets sessions move where the version is proved or time is up, unless its answers under load speak against it.
+    // Lets sessions move when it is time, unless the answers under load speak against the version.
     void endProof(Rollout& it, TimePoint now);
     bool isProved(const Rollout& it) const;
-    // Age of an order at which a version without a proof moves: what it may get until the order's end keeps the bound
-    // of exposure, also where it is bad and nothing has shown that.
-    Duration unprovedMoveAge(const Rollout& it) const;
+    // Age of an order at which all sessions move: what the version may get until the order's end keeps the bound of
+    // exposure, also where it is bad and nothing has shown that. A proof is no reason to move sooner, since the version
+    // may fail at a load that none was under.
+    Duration moveAge(const Rollout& it) const;
     void judge(const Rollout& it, TimePoint now);
     void noteStage(Rollout& it, TimePoint now) const;
     void reject(const ServiceName& service, const catalog::SoftwareVersion& version, std::string_view reason);
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -34,8 +34,6 @@
         return "trial";
     case Stage::Proving:
         return "proving";
-    case Stage::Widening:
-        return "widening";
     case Stage::Replacing:
         return "replacing";
     case Stage::Completed:
@@ -125,7 +123,7 @@
     if (now - it.learnedAt < m_options.settling)
         return Stage::Settling;
     if (it.movingSince)
-        return it.proved && now - *it.movingSince < m_options.widening ? Stage::Widening : Stage::Replacing;
+        return Stage::Replacing;
     return it.provingSince ? Stage::Proving : Stage::Trial;
 }
 
@@ -144,8 +142,6 @@
     case Stage::Trial:
     case Stage::Proving:
         return it.trialShare;
-    case Stage::Widening:
-        return m_options.wideningShare;
     case Stage::Replacing:
     case Stage::Completed:
         return 1;
@@ -164,8 +160,7 @@
     const auto side = m_sessions.sideOf(sessionHash, now);
     if (current == Stage::Trial && side == SessionSide::OldVersion)
         return false;
-    const bool moving = current == Stage::Proving || current == Stage::Widening;
-    if (moving && side == SessionSide::NewVersion)
+    if (current == Stage::Proving && side == SessionSide::NewVersion)
         return true;
     return isInRange(it, sessionHash, shareOf(it, current));
 }
@@ -183,10 +178,10 @@
     const bool full = capacity.provingInFlight >= provingLoadOf(it) * capacity.provingSlots;
     if (stage(it, now) != Stage::Proving || !capacity.provingUpstream || full || weight == RequestWeight::Heavy)
         return false;
-    if (requestsInProof(it, now) >= it.mostRequestsInProof)
+    if (requestsInProof(it, now) >= it.mostRequestsInProof || isProved(it))
         return false;
     // Short requests are many for the load that they make: they help only where the long ones do not suffice.
-    const TimePoint end = it.learnedAt + unprovedMoveAge(it);
+    const TimePoint end = it.learnedAt + moveAge(it);
     const bool halfOver = now - *it.provingSince > end - now;
     return weight == RequestWeight::QuickAndLong || halfOver;
 }
@@ -414,7 +409,7 @@
     return requestsOf(it) - ofTrial;
 }
 
-Duration RolloutBoard::unprovedMoveAge(const Rollout& it) const
+Duration RolloutBoard::moveAge(const Rollout& it) const
 {
     const Duration most = m_options.lastMoment + m_options.mostDrain;
     const double rate = serviceRate(it);
@@ -422,7 +417,7 @@
         return it.order.duration - most;
     // The slack stays for what the rate, known from a few sessions, is wrong by.
     const double bound = m_options.exposureRatio * rate * secondsOf(it.order.duration);
-    const double rest = std::max(0., bound - requestsOf(it)) * m_options.unprovedPartOfRest;
+    const double rest = std::max(0., bound - requestsOf(it)) * m_options.movePartOfRest;
     const auto allowed = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(rest / rate));
     return it.order.duration - std::clamp(allowed, m_options.lastMoment, most);
 }
@@ -447,20 +442,14 @@
 void RolloutBoard::endProof(Rollout& it, TimePoint now)
 {
     const LoadedAnswers underLoad = it.judge.underLoad(m_oldAnswers);
-    const bool proved = isProved(it);
-    // Where the requests are too few to put an upstream under load, the proof ends without a result.
-    const bool over = proved || now - it.learnedAt >= unprovedMoveAge(it);
-    if (underLoad.disprove()) {
-        if (over || underLoad.isCertain())
-            reject(it.order.service, it.order.target, "it fails under load");
-        return;
-    }
+    const bool over = now - it.learnedAt >= moveAge(it);
+    if (underLoad.disprove() && (over || underLoad.isCertain()))
+        return reject(it.order.service, it.order.target, "it fails under load");
     if (!over)
         return;
-    // Time is up: without a proof, more failures than the old version has speak against it.
-    if (!proved && underLoad.isSuspect())
+    // Without a proof, more failures than the old version has speak against it.
+    if (!isProved(it) && underLoad.isSuspect())
         return reject(it.order.service, it.order.target, "it failed under load and was not proved in time");
-    it.proved = proved;
     it.movingSince = now;
 }
 
--- a/src/rollout/tests/rollout_test.cpp
+++ b/src/rollout/tests/rollout_test.cpp
@@ -556,9 +556,15 @@
     cr_assert(stageAfterProof(27, 3, 10) == Stage::Replacing);
 }
 
-Test(rollout, aVersionThatBearsTheLoadReplacesTheOldOne)
+// Pattern: a proof shows nothing against a version that fails only at a load that no proof was under, or never in its
+// order's time (lavaclaro-quito-grown, bad-version-during-burst, seed 727980974020: 40 good answers under load, none
+// failed, and 3,701 requests of 11,694 went to the bad version).
+Test(rollout, aVersionThatBearsTheLoadReplacesTheOldOneWithinTheBoundOfExposure)
 {
     Deployment it(LoadedService::HOSTS);
-    playUnderLoad(it, 2, 24);
-    cr_assert(it.board(0).stageOf(SERVICE, START + ORDER_TIME - Duration(3000)) == Stage::Replacing);
+    const LoadedService service = playUnderLoad(it, 2, 24);
+    const TimePoint end = START + ORDER_TIME;
+    cr_assert(it.board(0).stageOf(SERVICE, end) == Stage::Replacing);
+    cr_assert(it.board(0).statusDue(SERVICE, 1, end - Duration(1000))->phase == RolloutPhase::Completed);
+    cr_assert_lt(service.onNewCount, 0.15 * service.count + 30, "%d of %d", service.onNewCount, service.count);
 }
