--- a/include/fireflyhaven/rollout/rolloutboard.h
+++ b/include/fireflyhaven/rollout/rolloutboard.h
@@ -25,7 +25,7 @@
     Duration settling { 1000 };
     // A session is at work until this time after its last request ended.
     Duration session { 5000 };
-    // Part of the order's time after which sessions may be moved.
+    // Part of the order's time after which the trial may end and the proof begin.
     double trialPart = 0.5;
     // The same for a version that looks slow, without certainty.
     double longestTrialPart = 0.72;
@@ -143,14 +143,15 @@
         bool completed = false;
         std::optional<catalog::RolloutPhase> written;
         VersionCapacity capacity;
-        // When the proof under load began, and when sessions began to move; no value before.
+        // When the proof under load began; no value before.
         std::optional<TimePoint> provingSince;
+        // Whether all sessions have moved.
+        bool moved = false;
         // Answers a second that the trial gave, those before the proof, and requests that the proof may take beside the
         // trial's; all of them on all hosts.
         double trialRate = 0;
         std::uint32_t answersBeforeProof = 0;
         double mostRequestsInProof = 0;
-        std::optional<TimePoint> movingSince;
         VersionJudge judge;
         // The stage that was last written to the log.
         std::optional<Stage> notedStage;
--- a/src/fleet/tests/exchange_test.cpp
+++ b/src/fleet/tests/exchange_test.cpp
@@ -106,6 +106,13 @@
         }
     }
 
+    // Each host has one request in flight at the upstream.
+    void useEachHost()
+    {
+        for (Node& it : nodes)
+            it.part.inFlight = 1;
+    }
+
     Node* at(const http::Endpoint& address)
     {
         for (Node& it : nodes) {
@@ -205,8 +212,7 @@
 Test(exchange, allAggregatorsOfADataCentreKilledAtOnceAreReplacedWithinTwoSeconds)
 {
     Fleet fleet(3, 40, 0);
-    for (Node& it : fleet.nodes)
-        it.part.inFlight = 1;
+    fleet.useEachHost();
     fleet.run(Duration(6'000));
     for (Node* it : fleet.aggregators()) {
         if (it->dataCentre == DataCentreId("dc0"))
@@ -242,8 +248,7 @@
 Test(exchange, aHostThatStartsAnewIsKnownAgainAndKnowsTheOthers)
 {
     Fleet fleet(3, 30, 0.02);
-    for (Node& it : fleet.nodes)
-        it.part.inFlight = 1;
+    fleet.useEachHost();
     fleet.run(Duration(4'000));
     Node& restarted = fleet.nodes[40];
     fleet.start(restarted);
@@ -261,8 +266,7 @@
     fleet.run(Duration(4'000));
     for (Node& it : fleet.nodes)
         fleet.start(it);
-    for (Node& it : fleet.nodes)
-        it.part.inFlight = 1;
+    fleet.useEachHost();
     fleet.run(Duration(5'000));
     cr_assert_leq(fleet.wrong(), 3, "%d hosts are wrong", fleet.wrong());
 }
@@ -270,8 +274,7 @@
 Test(exchange, aDataCentreThatIsCutOffCountsNoLongerAndReturns)
 {
     Fleet fleet(3, 20, 0);
-    for (Node& it : fleet.nodes)
-        it.part.inFlight = 1;
+    fleet.useEachHost();
     fleet.run(Duration(5'000));
     for (Node& it : fleet.nodes)
         it.up = it.dataCentre != DataCentreId("dc2");
@@ -286,8 +289,7 @@
 Test(exchange, anAggregatorThatCanNotBeHeardIsReplaced)
 {
     Fleet fleet(2, 30, 0);
-    for (Node& it : fleet.nodes)
-        it.part.inFlight = 1;
+    fleet.useEachHost();
     fleet.run(Duration(5'000));
     for (Node* it : fleet.aggregators())
         it->muted = true;
@@ -325,8 +327,7 @@
 Test(exchange, fewHostsReportToEachOtherDirectly)
 {
     Fleet fleet(3, 3, 0);
-    for (Node& it : fleet.nodes)
-        it.part.inFlight = 1;
+    fleet.useEachHost();
     fleet.run(Duration(1'000));
     cr_assert(fleet.aggregators().empty());
     cr_assert_eq(fleet.wrong(), 0);
--- a/src/rollout/internal/rolloutboard.cpp
+++ b/src/rollout/internal/rolloutboard.cpp
@@ -122,7 +122,7 @@
         return Stage::RolledBack;
     if (now - it.learnedAt < m_options.settling)
         return Stage::Settling;
-    if (it.movingSince)
+    if (it.moved)
         return Stage::Replacing;
     return it.provingSince ? Stage::Proving : Stage::Trial;
 }
@@ -433,7 +433,7 @@
     for (auto& [service, it] : m_rollouts) {
         if (!it.provingSince && mayEndTrial(it, now))
             endTrial(it, now);
-        if (it.provingSince && !it.movingSince && !it.rejected)
+        if (it.provingSince && !it.moved && !it.rejected)
             endProof(it, now);
         noteStage(it, now);
     }
@@ -450,7 +450,7 @@
     // Without a proof, more failures than the old version has speak against it.
     if (!isProved(it) && underLoad.isSuspect())
         return reject(it.order.service, it.order.target, "it failed under load and was not proved in time");
-    it.movingSince = now;
+    it.moved = true;
 }
 
 void RolloutBoard::noteStage(Rollout& it, TimePoint now) const
