Log what upstreams say of their request limits, and count what is sent to them

Change: the header is decoded into ResponseInfo, a table holds the limits by incarnation of the upstream, lines request_limit_named, request_limit_ended and request_limit_unreadable say what changed and by which answer, request_sent has limit_per_second, and /state, /metrics and the beliefs line show the limits. No choice depends on them yet.

--- a/include/fireflyhaven/entry/flowcontext.h
+++ b/include/fireflyhaven/entry/flowcontext.h
@@ -4,6 +4,7 @@
 #include "fireflyhaven/balancing/balancer.h"
 #include "fireflyhaven/dispatch/retrybudgets.h"
 #include "fireflyhaven/entry/types/flowevent.h"
+#include "fireflyhaven/ratelimit/limittable.h"
 #include "fireflyhaven/rollout/rolloutcontroller.h"
 #include "fireflyhaven/routing/escalationpolicy.h"
 
@@ -52,6 +53,7 @@
     rollout::RolloutController& rollouts;
     dispatch::RetryBudgets& retries;
     admission::ServiceQueues& serviceQueues;
+    ratelimit::LimitTable& limits;
     const IHostView& host;
     IFlowObserver& observer;
     FlowOptions options;
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -94,8 +94,9 @@
     void resend(std::string_view reason, TimePoint now);
     // Cancels an attempt that makes no progress if another attempt may follow it.
     void onProgressTimeout(TimePoint now);
-    // Applies the draining and backoff notices that the upstream sent with its response.
+    // Applies the draining, backoff and limit notices that the upstream sent with its response.
     void applyUpstreamNotices(TimePoint now);
+    void applyLimitNotice(TimePoint now);
     TimePoint nextEventDeadline(TimePoint now) const;
     bool mayRetry(bool mayHaveRun, TimePoint now) const;
     // Dispatches the request to a larger model if the response's confidence is too low; returns whether it did.
--- a/include/fireflyhaven/entry/types/flowevent.h
+++ b/include/fireflyhaven/entry/types/flowevent.h
@@ -33,6 +33,12 @@
     // The response was broken off after part of it was sent.
     Aborted,
     CallerLeft,
+    // A response names a request limit of its upstream that this host did not know.
+    LimitNamed,
+    // A response shows that its upstream no longer has a request limit.
+    LimitEnded,
+    // A response names a request limit that cannot be read; what was known of it stays in force.
+    LimitUnreadable,
 };
 
 struct FlowEvent {
@@ -53,6 +59,8 @@
     // Measured time from the send to the response head.
     std::optional<Duration> observed;
     std::optional<Duration> retryAfter;
+    // Request limit of the upstream, as far as this host knows it.
+    std::optional<RequestRate> limit;
     int sends = 0;
     catalog::ConfigurationVersion configuration;
     // Time since this host last confirmed the operator's records; negative if it never did.
--- a/include/fireflyhaven/entry/types/request.h
+++ b/include/fireflyhaven/entry/types/request.h
@@ -2,6 +2,8 @@
 
 #include "fireflyhaven/balancing/types/upstreamrequirements.h"
 
+#include "fireflyhaven/common/types/requestrate.h"
+
 #include <optional>
 #include <vector>
 
@@ -71,6 +73,10 @@
     std::optional<Duration> retryAfter;
     // The upstream accepts no new requests and will shut down.
     bool isDraining = false;
+    // Rate of requests that the upstream accepts from all hosts together; no value if the response names none.
+    std::optional<RequestRate> requestLimit;
+    // The response names a limit that cannot be read.
+    bool requestLimitUnreadable = false;
 };
 
 }
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -19,7 +19,7 @@
 bool isFailure(FlowStep step)
 {
     return step == FlowStep::Refused || step == FlowStep::Failed || step == FlowStep::Aborted
-        || step == FlowStep::AttemptFailed;
+        || step == FlowStep::AttemptFailed || step == FlowStep::LimitUnreadable;
 }
 
 // Whether the request is finished: answered, or never to be answered.
@@ -44,6 +44,8 @@
         fields["confidence"] = *event.confidence;
     if (event.expected)
         fields["expected_ms"] = event.expected->count();
+    if (event.limit)
+        fields["limit_per_second"] = event.limit->perSecond();
     if (event.retryAfter)
         fields["retry_after_ms"] = event.retryAfter->count();
     fields["elapsed_ms"] = event.elapsed.count();
@@ -77,6 +79,8 @@
 {
     const std::string route = event.route ? event.route->name.value() : "none";
     m_metrics.count("request_steps", 1, { { "step", flowStepName(event.step) } });
+    if (event.step == FlowStep::Sent && event.limit)
+        m_metrics.count("sends_to_limited_upstreams");
     if (event.step == FlowStep::FirstToken) {
         m_metrics.observe("first_token", event.elapsed, { { "route", route } });
         m_metrics.observe("first_token_prediction_error", std::chrono::abs(*event.observed - *event.expected));
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -92,6 +92,7 @@
             .rollouts = m_rollouts,
             .retries = m_retries,
             .serviceQueues = m_serviceQueues,
+            .limits = m_limits,
             .host = *this,
             .observer = m_decisionLog }
         , m_driverContext { .loop = loop,
@@ -106,6 +107,7 @@
               .balancer = m_balancer,
               .rollouts = m_rollouts,
               .serviceQueues = m_serviceQueues,
+              .limits = m_limits,
               .catalogSync = m_catalogSync,
               .fleetLink = m_fleetLink,
               .requestDispatcher = m_requestDispatcher,
@@ -318,6 +320,7 @@
         m_catalogSync.tick(now);
         m_rollouts.tick(now);
         m_balancer.expire(now);
+        m_limits.expire(now);
         updateSharingHosts(now);
         m_statusWriter.tick(isStatusWriter(now), now);
         if (now - m_stateLoggedAt >= STATE_LOG_INTERVAL)
@@ -412,6 +415,7 @@
     rollout::RolloutController m_rollouts;
     dispatch::RetryBudgets m_retries;
     admission::ServiceQueues m_serviceQueues;
+    ratelimit::LimitTable m_limits;
     std::unique_ptr<http::EventClient> m_client;
     telemetry::Metrics m_metrics;
     DecisionLog m_decisionLog;
--- a/src/entry/internal/flowevent.cpp
+++ b/src/entry/internal/flowevent.cpp
@@ -31,6 +31,12 @@
         return "aborted";
     case FlowStep::CallerLeft:
         return "caller_left";
+    case FlowStep::LimitNamed:
+        return "limit_named";
+    case FlowStep::LimitEnded:
+        return "limit_ended";
+    case FlowStep::LimitUnreadable:
+        return "limit_unreadable";
     }
     return "";
 }
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -188,6 +188,7 @@
     recordSessionUse(now);
     FlowEvent sent = event(FlowStep::Sent);
     sent.expected = m_ticket->expectedTimeToFirstToken();
+    sent.limit = m_context.limits.limitOf(ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs));
     report(sent, now);
     startAttempt(target->upstream, now);
 }
@@ -266,6 +267,29 @@
         m_context.balancer.onDraining(*m_ticket, now);
     if (m_responseInfo.status == STATUS_UNAVAILABLE && m_responseInfo.retryAfter)
         m_context.balancer.onBackoff(*m_ticket, *m_responseInfo.retryAfter, now);
+    applyLimitNotice(now);
+}
+
+void RequestFlow::applyLimitNotice(TimePoint now)
+{
+    // A misdirected request was answered by another upstream.
+    if (m_responseInfo.status == STATUS_MISDIRECTED)
+        return;
+    if (m_responseInfo.requestLimitUnreadable)
+        return report(event(FlowStep::LimitUnreadable), now);
+    // Errors may come from a part of the upstream that does not know the limit, so they do not end it.
+    if (!m_responseInfo.requestLimit && !isSuccess(m_responseInfo.status))
+        return;
+    const ratelimit::LimitAnswer answer { .upstream
+        = ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs),
+        .limit = m_responseInfo.requestLimit,
+        .sentAt = m_ticket->sentAt };
+    const ratelimit::LimitChange change = m_context.limits.onAnswer(answer, now);
+    if (change == ratelimit::LimitChange::None)
+        return;
+    FlowEvent notice = event(change == ratelimit::LimitChange::Named ? FlowStep::LimitNamed : FlowStep::LimitEnded);
+    notice.limit = m_responseInfo.requestLimit;
+    report(notice, now);
 }
 
 TimePoint RequestFlow::nextEventDeadline(TimePoint now) const
--- a/src/entry/internal/statuspages.cpp
+++ b/src/entry/internal/statuspages.cpp
@@ -47,6 +47,7 @@
     metrics.set("requests_waiting", static_cast<double>(m_context.serviceQueues.size()));
     metrics.set("upstreams", static_cast<double>(m_context.catalog.upstreams().size()));
     metrics.set("upstreams_avoided", avoided);
+    metrics.set("upstreams_limited", static_cast<double>(m_context.limits.limitedUpstreams()));
     metrics.set("hosts_live", static_cast<double>(m_context.fleetLink.hosts().live(now).size() + 1));
     metrics.set("configuration_version", static_cast<double>(m_context.catalog.version().value()));
     if (const auto confirmed = m_context.catalogSync.operatorConfirmedAt())
@@ -61,6 +62,11 @@
     metrics.set("upstream_connections_opened", static_cast<double>(m_context.client.connectionsOpened()));
 }
 
+std::optional<RequestRate> StatusPages::limitOf(const catalog::UpstreamState& upstream) const
+{
+    return m_context.limits.limitOf(ratelimit::incarnationOf(upstream.upstream.id, upstream.upstream.startedAtMs));
+}
+
 nlohmann::ordered_json StatusPages::commonState() const
 {
     const TimePoint now = m_context.clock.now();
@@ -95,6 +101,11 @@
         if (!it.isReady(now) || !m_context.balancer.isUsable(id, now))
             avoided.push_back(id.value());
     }
+    auto& limited = document["limited"] = nlohmann::ordered_json::object();
+    for (const auto& [id, it] : m_context.catalog.upstreams()) {
+        if (const auto limit = limitOf(it))
+            limited[id.value()] = limit->perSecond();
+    }
     return document;
 }
 
@@ -111,6 +122,8 @@
         upstreams.push_back({ { "upstream", id.value() }, { "service", it.upstream.service.value() },
             { "version", it.upstream.version.value() }, { "ready", it.isReady(now) }, { "cold", it.isCold(now) },
             { "usable", m_context.balancer.isUsable(id, now) }, { "in_flight", m_context.balancer.inFlight(id) } });
+        if (const auto limit = limitOf(it))
+            upstreams.back()["limit_per_second"] = limit->perSecond();
     }
     return document;
 }
--- a/src/entry/internal/statuspages.h
+++ b/src/entry/internal/statuspages.h
@@ -21,6 +21,7 @@
         const balancing::Balancer& balancer;
         const rollout::RolloutController& rollouts;
         const admission::ServiceQueues& serviceQueues;
+        const ratelimit::LimitTable& limits;
         const CatalogSync& catalogSync;
         const FleetLink& fleetLink;
         const RequestDispatcher& requestDispatcher;
@@ -41,6 +42,7 @@
     // Fields that `state` and `summary` share: configuration, store access, requests, evacuations and roll-outs.
     nlohmann::ordered_json commonState() const;
     void setGauges() const;
+    std::optional<RequestRate> limitOf(const catalog::UpstreamState& upstream) const;
 
     const Context m_context;
 };
--- a/src/entry/tests/decisionlog_test.cpp
+++ b/src/entry/tests/decisionlog_test.cpp
@@ -94,3 +94,18 @@
     cr_assert(it.metrics.text().find("first_token_prediction_error_seconds_sum 0.06") != std::string::npos);
     cr_assert(it.text.str().empty());
 }
+
+// Guards against logs that do not tell which host was told of an upstream's limit, and by which answer.
+Test(decisionLog, limitsOfUpstreamsAreLoggedAndSendsToThemCounted)
+{
+    CapturedDecisionLog it;
+    it.log.onFlowEvent({ .step = FlowStep::LimitNamed,
+        .request = it.request,
+        .upstream = UpstreamId("u"),
+        .limit = RequestRate(1.8) });
+    const auto line = nlohmann::json::parse(it.text.str());
+    cr_assert(line["event"] == "request_limit_named" && line["upstream"] == "u" && line["limit_per_second"] == 1.8);
+    it.log.onFlowEvent({ .step = FlowStep::Sent, .request = it.request, .limit = RequestRate(1.8) });
+    it.log.onFlowEvent({ .step = FlowStep::Sent, .request = it.request });
+    cr_assert(it.metrics.dump()["sends_to_limited_upstreams"] == 1);
+}
--- a/src/entry/tests/flowfixture.h
+++ b/src/entry/tests/flowfixture.h
@@ -153,6 +153,7 @@
     rollout::RolloutController rollouts;
     dispatch::RetryBudgets retries { { .ratio = 1, .slack = 100, .maxAttempts = 100 } };
     admission::ServiceQueues serviceQueues;
+    ratelimit::LimitTable limits;
     FakeHost host;
     StepRecorder steps;
     FlowContext context { .catalog = catalog,
@@ -161,6 +162,7 @@
         .rollouts = rollouts,
         .retries = retries,
         .serviceQueues = serviceQueues,
+        .limits = limits,
         .host = host,
         .observer = steps };
 };
--- a/src/entry/tests/requestflow_test.cpp
+++ b/src/entry/tests/requestflow_test.cpp
@@ -541,3 +541,64 @@
     cr_assert_eq(later.actions.localStatus, STATUS_UNAVAILABLE);
     cr_assert(later.actions.retryAfter.has_value());
 }
+
+namespace {
+
+constexpr RequestRate LIMIT { 1.8 };
+
+ResponseInfo responseWithLimit(std::optional<RequestRate> limit)
+{
+    ResponseInfo it = successResponse();
+    it.requestLimit = limit;
+    return it;
+}
+
+std::optional<RequestRate> knownLimit(const Deployment& it, const UpstreamId& upstream)
+{
+    return it.limits.limitOf(ratelimit::incarnationOf(upstream, 0));
+}
+
+}
+
+Test(upstreamLimits, namedLimitIsKnownUntilAnAnswerNamesNone)
+{
+    Deployment it;
+    keepOnePlainUpstream(it);
+    FlowUnderTest first(it, Deployment::request("/idempotent/1"));
+    first.receiveResponse(responseWithLimit(LIMIT));
+    cr_assert(knownLimit(it, UpstreamId("p0")) == LIMIT);
+    cr_assert(it.steps.recorded(FlowStep::LimitNamed));
+    it.limits.onAnswer({ .upstream = ratelimit::incarnationOf(UpstreamId("p0"), 0), .sentAt = START + Duration(30) },
+        START + Duration(40));
+    cr_assert_not(knownLimit(it, UpstreamId("p0")).has_value());
+}
+
+Test(upstreamLimits, onlyTheUpstreamItselfChangesItsLimit)
+{
+    Deployment it;
+    keepOnePlainUpstream(it);
+    ResponseInfo misdirected = responseWithLimit(LIMIT);
+    misdirected.status = STATUS_MISDIRECTED;
+    FlowUnderTest first(it, Deployment::request("/non-idempotent/1"));
+    first.receiveResponse(misdirected);
+    cr_assert_not(knownLimit(it, UpstreamId("p0")).has_value(), "another upstream has answered");
+    ResponseInfo unsignedResponse = responseWithLimit(LIMIT);
+    unsignedResponse.isSigned = false;
+    FlowUnderTest second(it, Deployment::request("/non-idempotent/1"));
+    second.receiveResponse(unsignedResponse);
+    cr_assert_not(knownLimit(it, UpstreamId("p0")).has_value(), "an unsigned response is not the upstream's");
+}
+
+Test(upstreamLimits, unreadableLimitKeepsTheKnownOne)
+{
+    Deployment it;
+    keepOnePlainUpstream(it);
+    FlowUnderTest first(it, Deployment::request("/idempotent/1"));
+    first.receiveResponse(responseWithLimit(LIMIT));
+    ResponseInfo unreadable = successResponse();
+    unreadable.requestLimitUnreadable = true;
+    FlowUnderTest second(it, Deployment::request("/idempotent/1"));
+    second.receiveResponse(unreadable);
+    cr_assert(knownLimit(it, UpstreamId("p0")) == LIMIT);
+    cr_assert(it.steps.recorded(FlowStep::LimitUnreadable));
+}
