Move the deployment of the entry host tests into a fixture with several upstreams

Change: tests/entry/hostfixture.h, a FakeUpstream with its own limit and the times of its requests; no check is changed.

--- a/tests/entry/entryhost_test.cpp
+++ b/tests/entry/entryhost_test.cpp
@@ -1,202 +1,20 @@
-#include "fireflyhaven/entry/entryhost.h"
+#include "hostfixture.h"
 
-#include "../../src/http/tests/loopfixture.h"
-#include "fireflyhaven/http/eventserver.h"
-#include "fireflyhaven/http/types/status.h"
 #include "fireflyhaven/telemetry/boundedsink.h"
 #include "fireflyhaven/telemetry/jsonformatter.h"
-#include "memorystore.h"
-#include "platform/wirecodec.h"
 
 #include <fcntl.h>
-#include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
 #include <array>
-#include <memory>
-#include <vector>
 
 #include <criterion/criterion.h>
 
-// Entry hosts with real sockets in one process, with an in-process upstream and an in-memory store.
 using namespace fireflyhaven;
-using fireflyhaven::http::test::EventLoop;
-using fireflyhaven::http::test::RawPeer;
-using fireflyhaven::test::MemoryStore;
-using fireflyhaven::test::SharedRecords;
-
-namespace {
-
+using namespace fireflyhaven::test;
 using nlohmann::json;
 
-constexpr Duration REVOCATION { 1200 };
-
-json configuration(int version, bool withSecondRoute = false)
-{
-    json routes = json::array();
-    const auto add = [&](const std::string& name, const std::string& prefix, bool anonymous) {
-        routes.push_back({ { "name", name }, { "host", "h" }, { "path_prefix", prefix }, { "type", "idempotent" },
-            { "timeout_ms", 5000 }, { "max_attempts", 2 }, { "anonymous", anonymous }, { "service", "s" } });
-    };
-    add("keyed", "/keyed/", false);
-    add("open", "/open/", true);
-    if (withSecondRoute)
-        add("later", "/later/", true);
-    return { { "version", version }, { "routes", routes },
-        { "services", { { { "name", "s" }, { "max_connections", 50 } } } },
-        { "tenants", { { { "name", "w" }, { "api_keys", { "secret" } } } } } };
-}
-
-struct Host {
-    std::unique_ptr<MemoryStore> store;
-    entry::EntrySettings settings;
-    std::unique_ptr<entry::EntryHost> host;
-};
-
-class Deployment {
-public:
-    explicit Deployment(std::size_t hosts)
-    {
-        startUpstream();
-        put(store::Topic::Upstreams, "u-1",
-            { { "service", "s" }, { "address", m_upstreamAddress.text() }, { "zone", "a" }, { "version", "v1" },
-                { "batch_slots", 8 }, { "phase", "ready" }, { "warmup_left_ms", 0 } });
-        for (std::size_t n = 0; n < hosts; ++n)
-            startHost(n);
-    }
-
-    void put(store::Topic topic, const std::string& key, const json& value)
-    {
-        m_records.topics[topic].push_back({ .key = key, .value = value.dump() });
-    }
-    void configure(int version, bool withSecondRoute = false)
-    {
-        put(store::Topic::Operator, "config", configuration(version, withSecondRoute));
-    }
-
-    // Sends one GET request; returns the raw bytes of the answer.
-    std::string call(const http::Endpoint& address, const std::string& target, const std::string& headers = {})
-    {
-        RawPeer caller(loop, address);
-        caller.send("GET " + target + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + nextId() + "\r\nConnection: close\r\n"
-            + headers + "\r\n");
-        caller.awaitClose();
-        return caller.received();
-    }
-    std::string request(std::size_t host, const std::string& target, const std::string& headers = {})
-    {
-        return call(hosts[host].settings.frontend, target, headers);
-    }
-    bool isReady(std::size_t host)
-    {
-        return call(hosts[host].settings.readiness, "/fireflyhaven/readyz").starts_with("HTTP/1.1 200 ");
-    }
-    std::vector<std::string> addresses(std::size_t host)
-    {
-        const std::string answer = call(hosts[host].settings.directory, "/fireflyhaven/resolve?name=h&region=r&zone=a");
-        return json::parse(answer.substr(answer.find("\r\n\r\n") + 4))["addresses"].get<std::vector<std::string>>();
-    }
-    // Runs the loop until the condition holds.
-    template <typename Condition> void await(Condition condition, const char* description)
-    {
-        constexpr Duration AWAIT_TIMEOUT { 10'000 };
-        const TimePoint end = loop.clock().now() + AWAIT_TIMEOUT;
-        while (!condition()) {
-            cr_assert(loop.clock().now() < end, "timed out waiting until %s", description);
-            loop.runPending();
-        }
-    }
-
-    EventLoop loop;
-    std::vector<Host> hosts;
-    // Heads of the requests that the upstream received.
-    std::vector<http::RequestHead> received;
-    // Exchanges that the upstream has not answered; filled while `holdAnswers` is set.
-    std::vector<std::shared_ptr<http::Exchange>> heldExchanges;
-    bool holdAnswers = false;
-
-    void answer(http::Exchange& exchange)
-    {
-        http::ResponseHead head { .status = STATUS_OK };
-        head.headers.add("X-Server-Seal", "seal");
-        head.headers.add("X-Attempt-Id", *exchange.head().headers.find("X-Attempt-Id"));
-        exchange.sendResponse(head, "from upstream");
-    }
-
-private:
-    std::string nextId() { return "attempt-" + std::to_string(++m_lastId); }
-
-    void startUpstream()
-    {
-        m_upstreamAddress = loop.freeEndpoint(http::test::uniqueLoopbackIp());
-        const auto onRequest = [this](std::shared_ptr<http::Exchange> exchange) {
-            received.push_back(exchange->head());
-            if (holdAnswers)
-                heldExchanges.push_back(std::move(exchange));
-            else
-                answer(*exchange);
-        };
-        handleFailure(
-            [&]() -> Result<int> {
-                BOOST_LEAF_ASSIGN(m_upstream,
-                    http::EventServer::start(loop.io(), loop.clock(), { .listen = m_upstreamAddress }, onRequest));
-                return 0;
-            },
-            [](const Failure& it) {
-                cr_assert(false, "%s", it.message.c_str());
-                return 1;
-            });
-    }
-
-    void startHost(std::size_t n)
-    {
-        const std::string ip = http::test::uniqueLoopbackIp(static_cast<int>(11 + n));
-        Host it;
-        it.store = std::make_unique<MemoryStore>(loop.io(), m_records);
-        it.settings = { .host = HostId("host-" + std::to_string(n)),
-            .dataCentre = DataCentreId("a"),
-            .region = RegionId("r"),
-            .frontend = loop.freeEndpoint(ip),
-            .readiness = loop.freeEndpoint(ip),
-            .directory = loop.freeEndpoint(ip),
-            .metrics = loop.freeEndpoint(ip) };
-        // All hosts use the same peer port.
-        if (m_peerPort == 0)
-            m_peerPort = loop.freeEndpoint(ip).port;
-        it.settings.firstPeerPort = m_peerPort;
-        it.settings.lastPeerPort = m_peerPort;
-        it.settings.bounds.revocation = REVOCATION;
-        handleFailure(
-            [&]() -> Result<int> {
-                BOOST_LEAF_ASSIGN(
-                    it.host, entry::EntryHost::start(loop.io(), loop.clock(), m_codec, *it.store, it.settings));
-                return 0;
-            },
-            [](const Failure& failure) {
-                cr_assert(false, "%s", failure.message.c_str());
-                return 1;
-            });
-        hosts.push_back(std::move(it));
-    }
-
-    SharedRecords m_records;
-    const platform::WireCodec m_codec;
-    http::Endpoint m_upstreamAddress;
-    std::unique_ptr<http::EventServer> m_upstream;
-    std::uint16_t m_peerPort = 0;
-    int m_lastId = 0;
-};
-
-const std::string KEY_HEADER = "Authorization: Token secret\r\n";
-
-bool hasStatus(const std::string& answer, int status)
-{
-    return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
-}
-
-}
-
 Test(entry_host, requestIsForwardedAndAnswerReturned)
 {
     Deployment it(1);
--- /dev/null
+++ b/tests/entry/hostfixture.h
@@ -0,0 +1,205 @@
+#pragma once
+
+#include "../../src/http/tests/loopfixture.h"
+#include "fireflyhaven/entry/entryhost.h"
+#include "fireflyhaven/http/eventserver.h"
+#include "fireflyhaven/http/types/status.h"
+#include "memorystore.h"
+#include "platform/wirecodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <vector>
+
+// Entry hosts with real sockets in one process, with in-process upstreams and an in-memory store.
+namespace fireflyhaven::test {
+
+using http::test::EventLoop;
+using http::test::RawPeer;
+
+inline constexpr Duration REVOCATION { 1200 };
+
+inline nlohmann::json configuration(int version, bool withSecondRoute = false)
+{
+    using nlohmann::json;
+    json routes = json::array();
+    const auto add = [&](const std::string& name, const std::string& prefix, bool anonymous) {
+        routes.push_back({ { "name", name }, { "host", "h" }, { "path_prefix", prefix }, { "type", "idempotent" },
+            { "timeout_ms", 5000 }, { "max_attempts", 2 }, { "anonymous", anonymous }, { "service", "s" } });
+    };
+    add("keyed", "/keyed/", false);
+    add("open", "/open/", true);
+    if (withSecondRoute)
+        add("later", "/later/", true);
+    return { { "version", version }, { "routes", routes },
+        { "services", { { { "name", "s" }, { "max_connections", 50 } } } },
+        { "tenants", { { { "name", "w" }, { "api_keys", { "secret" } } } } } };
+}
+
+// An upstream of the test, which answers at once.
+struct FakeUpstream {
+    UpstreamId id;
+    http::Endpoint address;
+    std::unique_ptr<http::EventServer> server;
+    // Request limit that its answers name, as sent; none if empty.
+    std::string limit;
+    // Arrival times of the requests, oldest first.
+    std::vector<TimePoint> arrivals;
+};
+
+struct Host {
+    std::unique_ptr<MemoryStore> store;
+    entry::EntrySettings settings;
+    std::unique_ptr<entry::EntryHost> host;
+};
+
+class Deployment {
+public:
+    explicit Deployment(std::size_t hosts, std::size_t upstreamCount = 1)
+        : upstreams(upstreamCount)
+    {
+        for (std::size_t n = 0; n < upstreamCount; ++n)
+            startUpstream(n);
+        for (std::size_t n = 0; n < hosts; ++n)
+            startHost(n);
+    }
+
+    void put(store::Topic topic, const std::string& key, const nlohmann::json& value)
+    {
+        m_records.topics[topic].push_back({ .key = key, .value = value.dump() });
+    }
+    void configure(int version, bool withSecondRoute = false)
+    {
+        put(store::Topic::Operator, "config", configuration(version, withSecondRoute));
+    }
+
+    // Sends one GET request; returns the raw bytes of the answer.
+    std::string call(const http::Endpoint& address, const std::string& target, const std::string& headers = {})
+    {
+        RawPeer caller(loop, address);
+        caller.send("GET " + target + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + nextId() + "\r\nConnection: close\r\n"
+            + headers + "\r\n");
+        caller.awaitClose();
+        return caller.received();
+    }
+    std::string request(std::size_t host, const std::string& target, const std::string& headers = {})
+    {
+        return call(hosts[host].settings.frontend, target, headers);
+    }
+    bool isReady(std::size_t host)
+    {
+        return call(hosts[host].settings.readiness, "/fireflyhaven/readyz").starts_with("HTTP/1.1 200 ");
+    }
+    std::vector<std::string> addresses(std::size_t host)
+    {
+        const std::string answer = call(hosts[host].settings.directory, "/fireflyhaven/resolve?name=h&region=r&zone=a");
+        return nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n") + 4))["addresses"]
+            .get<std::vector<std::string>>();
+    }
+    // Runs the loop until the condition holds.
+    template <typename Condition> void await(Condition condition, const char* description)
+    {
+        constexpr Duration AWAIT_TIMEOUT { 10'000 };
+        const TimePoint end = loop.clock().now() + AWAIT_TIMEOUT;
+        while (!condition()) {
+            cr_assert(loop.clock().now() < end, "timed out waiting until %s", description);
+            loop.runPending();
+        }
+    }
+
+    EventLoop loop;
+    std::vector<Host> hosts;
+    std::vector<FakeUpstream> upstreams;
+    // Heads of the requests that the upstreams received.
+    std::vector<http::RequestHead> received;
+    // Exchanges that the upstreams have not answered; filled while `holdAnswers` is set.
+    std::vector<std::shared_ptr<http::Exchange>> heldExchanges;
+    bool holdAnswers = false;
+
+    void answer(http::Exchange& exchange, const std::string& limit = {})
+    {
+        http::ResponseHead head { .status = STATUS_OK };
+        if (!limit.empty())
+            head.headers.add("Server-Limit", limit);
+        head.headers.add("X-Server-Seal", "seal");
+        head.headers.add("X-Attempt-Id", *exchange.head().headers.find("X-Attempt-Id"));
+        exchange.sendResponse(head, "from upstream");
+    }
+
+private:
+    std::string nextId() { return "attempt-" + std::to_string(++m_lastId); }
+
+    void startUpstream(std::size_t n)
+    {
+        FakeUpstream& it = upstreams[n];
+        it.id = UpstreamId("u-" + std::to_string(n + 1));
+        it.address = loop.freeEndpoint(http::test::uniqueLoopbackIp());
+        const auto onRequest = [this, &it](std::shared_ptr<http::Exchange> exchange) {
+            received.push_back(exchange->head());
+            it.arrivals.push_back(loop.clock().now());
+            if (holdAnswers)
+                heldExchanges.push_back(std::move(exchange));
+            else
+                answer(*exchange, it.limit);
+        };
+        handleFailure(
+            [&]() -> Result<int> {
+                BOOST_LEAF_ASSIGN(
+                    it.server, http::EventServer::start(loop.io(), loop.clock(), { .listen = it.address }, onRequest));
+                return 0;
+            },
+            [](const Failure& failure) {
+                cr_assert(false, "%s", failure.message.c_str());
+                return 1;
+            });
+        put(store::Topic::Upstreams, it.id.value(),
+            { { "service", "s" }, { "address", it.address.text() }, { "zone", "a" }, { "version", "v1" },
+                { "batch_slots", 8 }, { "phase", "ready" }, { "warmup_left_ms", 0 } });
+    }
+
+    void startHost(std::size_t n)
+    {
+        const std::string ip = http::test::uniqueLoopbackIp(static_cast<int>(11 + n));
+        Host it;
+        it.store = std::make_unique<MemoryStore>(loop.io(), m_records);
+        it.settings = { .host = HostId("host-" + std::to_string(n)),
+            .dataCentre = DataCentreId("a"),
+            .region = RegionId("r"),
+            .frontend = loop.freeEndpoint(ip),
+            .readiness = loop.freeEndpoint(ip),
+            .directory = loop.freeEndpoint(ip),
+            .metrics = loop.freeEndpoint(ip) };
+        // All hosts use the same peer port.
+        if (m_peerPort == 0)
+            m_peerPort = loop.freeEndpoint(ip).port;
+        it.settings.firstPeerPort = m_peerPort;
+        it.settings.lastPeerPort = m_peerPort;
+        it.settings.bounds.revocation = REVOCATION;
+        handleFailure(
+            [&]() -> Result<int> {
+                BOOST_LEAF_ASSIGN(
+                    it.host, entry::EntryHost::start(loop.io(), loop.clock(), m_codec, *it.store, it.settings));
+                return 0;
+            },
+            [](const Failure& failure) {
+                cr_assert(false, "%s", failure.message.c_str());
+                return 1;
+            });
+        hosts.push_back(std::move(it));
+    }
+
+    SharedRecords m_records;
+    const platform::WireCodec m_codec;
+    std::uint16_t m_peerPort = 0;
+    int m_lastId = 0;
+};
+
+inline const std::string KEY_HEADER = "Authorization: Token secret\r\n";
+
+inline bool hasStatus(const std::string& answer, int status)
+{
+    return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
+}
+
+}
