Keep second models, hung attempts and waiting requests within few permit requests

Change: an answer is held, not dropped, until the permit for the larger model is decided; a hung attempt is replaced only once a permit is granted; after three refusals a request takes an upstream without a limit or waits for the next permit; an issuer pauses only after a change of the issuers. Evidence: requestAsksForFewPermitsAndThenWaits, answerIsKeptUntilThePermit- ForALargerModelIsGranted, silentAttemptIsReplacedOnlyWithAPermit and the bound of five permit requests a request in limitfleet fail without it.

--- a/include/fireflyhaven/balancing/balancer.h
+++ b/include/fireflyhaven/balancing/balancer.h
@@ -69,6 +69,8 @@
     RequestRate limit;
     // How long the request can wait for the permit to become valid; zero where another upstream may take it instead.
     Duration maxWait {};
+    // The same for a request that has tried the other upstreams in vain.
+    Duration longestWait {};
 };
 
 // Picks for each request the upstream with the lowest expected time to first token, and favours upstreams that hold the
@@ -94,8 +96,8 @@
     std::optional<TimePoint> nextPermitAt(const UpstreamRequirements& requirements, TimePoint now) const;
     // Whether the upstream has lately refused a permit and has none to give yet.
     bool isPermitRefused(const UpstreamId& upstream, TimePoint now) const;
-    // Estimate for the upstream that would be picked now; no value where no upstream may take the request without a
-    // permit.
+    // Estimate for the upstream that would be picked now, or that a permit would be asked for; no value where no
+    // upstream may take the request.
     std::optional<LatencyEstimate> estimateLatency(
         const UpstreamRequirements& requirements, int hostCount, TimePoint now);
 
@@ -161,6 +163,9 @@
     template <typename Predicate>
     std::vector<Candidate> eligibleCandidates(
         const UpstreamRequirements& requirements, int hostCount, TimePoint now, Predicate includes);
+    // The same with the limited upstreams that may have a permit to give until then.
+    std::vector<Candidate> candidatesWithPermits(
+        const UpstreamRequirements& requirements, int hostCount, TimePoint until, TimePoint now);
     std::optional<RequestRate> limitOf(const catalog::UpstreamState& upstream) const;
     bool maySendTo(const catalog::UpstreamState& it, LocalState& state, int hostCount, TimePoint now);
     void scoreCandidates(std::vector<Candidate>& candidates, const UpstreamRequirements& requirements, TimePoint now);
--- a/include/fireflyhaven/entry/permitwait.h
+++ b/include/fireflyhaven/entry/permitwait.h
@@ -16,9 +16,14 @@
 
     // Asks for a permit. At most one wait is open at a time.
     void begin(const balancing::PermitNeed& need, TimePoint now);
+    // The request was sent, so that refusals of the past no longer count.
+    void onSent() { m_refusals = 0; }
+    // Whether so many permits were refused to the request that it no longer asks for one where it can do without.
+    bool isTired() const;
     // Ends the wait, whatever its state.
     void end();
 
+    bool isOpen() const { return m_need.has_value(); }
     // Whether the issuer's decision is still to come.
     bool isUndecided() const { return m_need && !m_validAt; }
     // The upstream that the open wait is for.
@@ -45,6 +50,7 @@
     // No value until the permit is granted.
     std::optional<TimePoint> m_validAt;
     Duration m_retryAfter {};
+    int m_refusals = 0;
 };
 
 }
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fireflyhaven/entry/eventsplitter.h"
+#include "fireflyhaven/entry/escalation.h"
 #include "fireflyhaven/entry/permitwait.h"
 #include "fireflyhaven/entry/requesttarget.h"
 #include "fireflyhaven/http/eventclient.h"
@@ -71,10 +72,12 @@
         Received,
         // In a service queue until an upstream can take it.
         Waiting,
-        // Waits for the permit to be sent to a limited upstream.
+        // Neither queued nor sent; waits for the permit to be sent to a limited upstream.
         AwaitingPermit,
         // An attempt is open and its response head has not arrived.
         AwaitingHead,
+        // An answer of low confidence is held back until the permit for a larger model is granted or refused.
+        HoldingAnswer,
         // The whole response is buffered before any of it is forwarded.
         Buffering,
         // Events are forwarded as they arrive.
@@ -87,13 +90,18 @@
     bool authenticate(TimePoint now);
     // Sends the request, queues it, or refuses it.
     void dispatch(TimePoint now);
-    // Sends the request or asks for the permit to; returns false if neither is possible. `permitted` is the upstream
-    // that a permit was granted for.
-    bool trySend(TimePoint now, const std::optional<UpstreamId>& permitted = std::nullopt);
-    // Uses the granted permit, or dispatches the request anew if the permit is too old.
-    void sendPermitted(TimePoint now);
+    // Fails the request and returns false if its key is no longer valid.
+    bool keyIsValid(TimePoint now);
+    // Sends the request or asks for the permit to; returns false if neither is possible.
+    bool trySend(TimePoint now);
+    // Sends the request to the upstream that a permit was granted for, or to one without a limit; returns false if none
+    // can take it.
+    bool sendNow(
+        const balancing::UpstreamRequirements& requirements, const std::optional<UpstreamId>& permitted, TimePoint now);
+    // Sends the request with a permit, or dispatches it anew without one.
+    void sendPermitted(const std::optional<UpstreamId>& permitted, TimePoint now);
     void onPermitTimer(TimePoint now);
-    void dispatchAfterRefusal(TimePoint now);
+    void onPermitRefused(TimePoint now);
     void enqueueOrRefuse(TimePoint now);
     admission::WaitingRequest waitingRequest() const;
     void send(balancing::Ticket ticket, TimePoint now);
@@ -102,17 +110,23 @@
     void closeAttempt(balancing::SendOutcome outcome, TimePoint now);
     // Handles an attempt that ended without a response that can be forwarded.
     void onAttemptUnusable(bool mayHaveRun, std::string_view reason, TimePoint now);
-    void resend(std::string_view reason, TimePoint now);
-    // Cancels an attempt that makes no progress if another attempt may follow it.
+    void resend(std::string_view reason, const std::optional<UpstreamId>& permitted, TimePoint now);
+    // Replaces an attempt that makes no progress if another attempt may follow it.
     void onProgressTimeout(TimePoint now);
+    void replaceAttempt(const std::optional<UpstreamId>& permitted, TimePoint now);
+    // Starts to forward or to buffer the response whose head has arrived.
+    void beginAnswer(TimePoint now);
+    // Goes on with the answer that was held back for a larger model.
+    void releaseHeldAnswer(TimePoint now);
+    void onStreamProgress(TimePoint now);
     // Applies the draining, backoff and limit notices that the upstream sent with its response.
     void applyUpstreamNotices(TimePoint now);
-    void applyLimitNotice(TimePoint now);
     TimePoint nextEventDeadline(TimePoint now) const;
     bool mayRetry(bool mayHaveRun, TimePoint now) const;
-    // Dispatches the request to a larger model if the response's confidence is too low; returns whether it did.
+    // Dispatches the request to a larger model if the response's confidence is too low, or holds the answer until the
+    // permit for that is decided; returns false if the answer is to be used.
     bool escalate(TimePoint now);
-    bool isCongested(const balancing::LatencyEstimate& estimate) const;
+    void escalateTo(const Escalation& escalation, const std::optional<UpstreamId>& permitted, TimePoint now);
     void recordVersionSample(bool failed, std::optional<quality::LatencySample> latency, TimePoint now);
     std::optional<quality::LatencySample> latencySample(TimePoint now) const;
     std::optional<double> reportedUtilisation() const;
@@ -157,6 +171,10 @@
     ResponseInfo m_responseInfo;
     http::ResponseHead m_head;
     std::string m_body;
+    // The escalation that an answer is held back for, and what has arrived of that answer.
+    Escalation m_escalation;
+    std::string m_heldBytes;
+    bool m_heldAnswerEnded = false;
     EventSplitter m_splitter;
     bool m_headSent = false;
     std::optional<std::uint64_t> m_lastEventId;
--- a/include/fireflyhaven/fleet/limitexchange.h
+++ b/include/fireflyhaven/fleet/limitexchange.h
@@ -43,6 +43,8 @@
 
     const HostId& self() const { return m_exchange.hosts().self(); }
     const DataCentreId& ownDataCentre() const { return m_exchange.hosts().ownDataCentre(); }
+    // The hosts that issue permits: the first by rank of each data centre.
+    std::vector<HostId> issuers(TimePoint now) const;
     // The host that issues the permits of this upstream; this host itself if no other is known.
     HostId issuerOf(ShortHash upstream, TimePoint now) const;
     // Addresses the request to the issuer; no value if the issuer is not another known host.
--- a/include/fireflyhaven/http/types/status.h
+++ b/include/fireflyhaven/http/types/status.h
@@ -23,4 +23,6 @@
 constexpr int STATUS_UNAVAILABLE = 503;
 constexpr int STATUS_GATEWAY_TIMEOUT = 504;
 
+constexpr bool isSuccess(int status) { return status >= STATUS_OK && status <= STATUS_MAX_SUCCESS; }
+
 }
--- a/include/fireflyhaven/ratelimit/permitissuer.h
+++ b/include/fireflyhaven/ratelimit/permitissuer.h
@@ -9,7 +9,8 @@
 namespace fireflyhaven::ratelimit {
 
 struct PermitIssuerOptions {
-    // A new issuer gives no permits for this long, because another host may have given some just before.
+    // After a change of the issuers, an issuer gives no permits of upstreams that are new to it for this long, because
+    // another host may have given some just before.
     Duration settlingTime { 1000 };
     // Unused permits of this time may be used at once.
     Duration maxBurst { 1000 };
@@ -24,6 +25,8 @@
     explicit PermitIssuer(PermitIssuerOptions options = {});
 
     PermitDecision decide(const PermitTerms& terms, TimePoint now);
+    // The hosts that issue permits have changed. Called at the start of the process, too.
+    void onIssuersChanged(TimePoint now) { m_issuersChangedAt = now; }
     // Forgets the upstreams whose permits this host no longer issues.
     void retainIf(const std::function<bool(fleet::ShortHash)>& isIssuer);
     std::size_t size() const { return m_schedules.size(); }
@@ -44,6 +47,7 @@
     Schedule& scheduleOf(const UpstreamIncarnation& upstream, TimePoint now);
 
     const PermitIssuerOptions m_options;
+    TimePoint m_issuersChangedAt {};
     absl::flat_hash_map<fleet::ShortHash, Schedule> m_schedules;
 };
 
--- a/src/balancing/internal/balancer.cpp
+++ b/src/balancing/internal/balancer.cpp
@@ -209,19 +209,23 @@
         candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
 }
 
+std::vector<Balancer::Candidate> Balancer::candidatesWithPermits(
+    const UpstreamRequirements& requirements, int hostCount, TimePoint until, TimePoint now)
+{
+    return eligibleCandidates(requirements, hostCount, now, [&](const UpstreamId&, const LocalState& state) {
+        return state.openPermitRequests < m_options.maxOpenPermitRequests && state.permitsRefusedUntil <= until;
+    });
+}
+
 std::optional<PermitNeed> Balancer::neededPermit(const UpstreamRequirements& requirements, int hostCount, TimePoint now)
 {
     if (m_limits.empty())
         return std::nullopt;
-    const auto candidatesUntil = [&](TimePoint until) {
-        return eligibleCandidates(requirements, hostCount, now, [&](const UpstreamId&, const LocalState& state) {
-            return state.openPermitRequests < m_options.maxOpenPermitRequests && state.permitsRefusedUntil <= until;
-        });
-    };
-    std::vector<Candidate> candidates = candidatesUntil(now);
+    std::vector<Candidate> candidates = candidatesWithPermits(requirements, hostCount, now, now);
+    const bool hasAlternative = candidates.size() > 1;
     // A request that no upstream may take now can wait for the next permit.
     if (candidates.empty())
-        candidates = candidatesUntil(now + m_options.maxPermitWait);
+        candidates = candidatesWithPermits(requirements, hostCount, now + m_options.maxPermitWait, now);
     const Candidate* best = pickBest(candidates, requirements, now);
     const auto limit = best ? limitOf(*best->upstream) : std::nullopt;
     if (!limit)
@@ -230,7 +234,8 @@
     return PermitNeed { .upstream = upstream.id,
         .incarnation = ratelimit::incarnationOf(upstream.id, upstream.startedAtMs),
         .limit = *limit,
-        .maxWait = candidates.size() > 1 ? Duration(0) : m_options.maxPermitWait };
+        .maxWait = hasAlternative ? Duration(0) : m_options.maxPermitWait,
+        .longestWait = m_options.maxPermitWait };
 }
 
 std::optional<Ticket> Balancer::pickUpstream(
@@ -284,8 +289,7 @@
 std::optional<LatencyEstimate> Balancer::estimateLatency(
     const UpstreamRequirements& requirements, int hostCount, TimePoint now)
 {
-    std::vector<Candidate> candidates
-        = eligibleCandidates(requirements, hostCount, now, [](const UpstreamId&, const LocalState&) { return false; });
+    std::vector<Candidate> candidates = candidatesWithPermits(requirements, hostCount, now, now);
     const Candidate* candidate = pickBest(candidates, requirements, now);
     if (!candidate)
         return std::nullopt;
--- a/src/entry/internal/limitlink.cpp
+++ b/src/entry/internal/limitlink.cpp
@@ -77,6 +77,10 @@
 void LimitLink::tick(TimePoint now)
 {
     std::erase_if(m_openRequests, [now](const auto& it) { return now - it.second.askedAt >= REQUEST_RETENTION; });
+    std::vector<HostId> issuers = m_context.exchange().issuers(now);
+    if (issuers != m_issuers)
+        m_issuer.onIssuersChanged(now);
+    m_issuers = std::move(issuers);
     m_issuer.retainIf([&](fleet::ShortHash upstream) { return isIssuerOf(upstream, now); });
 }
 
--- a/src/entry/internal/limitlink.h
+++ b/src/entry/internal/limitlink.h
@@ -52,6 +52,8 @@
 
     const Context m_context;
     ratelimit::PermitIssuer m_issuer;
+    // The hosts that issue permits, as of the last tick.
+    std::vector<HostId> m_issuers;
     // Requests for permits that other hosts have not answered, by number.
     std::map<std::uint32_t, OpenRequest> m_openRequests;
     std::uint32_t m_lastNumber = 0;
--- a/src/entry/internal/permitwait.cpp
+++ b/src/entry/internal/permitwait.cpp
@@ -7,6 +7,8 @@
 namespace {
 // Time for which an upstream is left alone after a refusal, at least.
 constexpr Duration MIN_REFUSAL { 20 };
+// Refusals after which a request goes to an upstream without a limit, or waits for a permit if there is none.
+constexpr int MAX_REFUSALS = 3;
 }
 
 PermitWait::PermitWait(FlowContext& context, admission::TicketId request)
@@ -21,9 +23,11 @@
 {
     end();
     m_need = need;
+    if (isTired())
+        m_need->maxWait = m_need->longestWait;
     m_answerDueAt = now + m_context.options.permitTimeout;
     m_context.balancer.onPermitRequested(need.upstream);
-    m_context.limitLink.requestPermit(m_request, need);
+    m_context.limitLink.requestPermit(m_request, *m_need);
 }
 
 void PermitWait::end()
@@ -34,6 +38,8 @@
     m_validAt.reset();
 }
 
+bool PermitWait::isTired() const { return m_refusals >= MAX_REFUSALS; }
+
 void PermitWait::onGranted(Duration wait, TimePoint now)
 {
     m_context.balancer.onPermitClosed(m_need->upstream);
@@ -42,6 +48,7 @@
 
 void PermitWait::onRefused(const ratelimit::PermitDecision& decision, TimePoint now)
 {
+    ++m_refusals;
     m_retryAfter = decision.retryAfter;
     m_context.balancer.onPermitRefused(m_need->upstream, now + std::max(decision.wait, MIN_REFUSAL));
     end();
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -2,6 +2,7 @@
 
 #include "fireflyhaven/common/hash.h"
 #include "fireflyhaven/http/types/status.h"
+#include "limitnotice.h"
 
 #include <algorithm>
 
@@ -25,8 +26,6 @@
 // Failed connections to upstreams after which a request is failed.
 constexpr int MAX_CONNECT_FAILURES = 4;
 
-bool isSuccess(int status) { return status >= STATUS_OK && status <= STATUS_MAX_SUCCESS; }
-
 // Whether the upstream states that it did not run the request, and another upstream may be able to.
 bool wasRefusedUnexecuted(const ResponseInfo& info)
 {
@@ -113,64 +112,93 @@
         enqueueOrRefuse(now);
 }
 
-bool RequestFlow::trySend(TimePoint now, const std::optional<UpstreamId>& permitted)
+// The key may have been revoked while the request waited.
+bool RequestFlow::keyIsValid(TimePoint now)
+{
+    if (!m_caller || (m_context.host.mayAcceptKeys(now) && m_context.catalog.callerOf(*m_request.key)))
+        return true;
+    failRequest("API key revoked or no longer confirmed", now);
+    return false;
+}
+
+bool RequestFlow::trySend(TimePoint now)
 {
-    // The key may have been revoked while the request waited.
-    if (m_caller && (!m_context.host.mayAcceptKeys(now) || !m_context.catalog.callerOf(*m_request.key))) {
-        failRequest("API key revoked or no longer confirmed", now);
+    if (!keyIsValid(now))
         return false;
-    }
     const balancing::UpstreamRequirements requirements = m_target.requirements(now);
-    const int hosts = m_context.host.sendingHostCount(now);
-    const auto need = permitted ? std::nullopt : m_context.balancer.neededPermit(requirements, hosts, now);
-    if (need) {
-        m_stage = Stage::AwaitingPermit;
-        m_permit.begin(*need, now);
+    if (m_permit.isTired() && sendNow(requirements, std::nullopt, now))
         return true;
-    }
-    auto ticket = m_context.balancer.pickUpstream(requirements, hosts, now, permitted);
+    const auto need = m_context.balancer.neededPermit(requirements, m_context.host.sendingHostCount(now), now);
+    if (!need)
+        return sendNow(requirements, std::nullopt, now);
+    m_stage = Stage::AwaitingPermit;
+    m_permit.begin(*need, now);
+    return true;
+}
+
+bool RequestFlow::sendNow(
+    const balancing::UpstreamRequirements& requirements, const std::optional<UpstreamId>& permitted, TimePoint now)
+{
+    auto ticket = m_context.balancer.pickUpstream(requirements, m_context.host.sendingHostCount(now), now, permitted);
     if (!ticket)
         return false;
     send(std::move(*ticket), now);
     return true;
 }
 
+void RequestFlow::sendPermitted(const std::optional<UpstreamId>& permitted, TimePoint now)
+{
+    m_stage = Stage::Received;
+    if (!permitted)
+        return dispatch(now);
+    if (keyIsValid(now) && !sendNow(m_target.requirements(now), permitted, now))
+        enqueueOrRefuse(now);
+}
+
 void RequestFlow::onPermitDecision(const ratelimit::PermitDecision& decision, TimePoint now)
 {
-    if (m_stage != Stage::AwaitingPermit || !m_permit.isUndecided())
+    if (!m_permit.isUndecided())
         return;
-    if (!decision.granted) {
-        m_permit.onRefused(decision, now);
-        return dispatchAfterRefusal(now);
+    if (decision.granted) {
+        m_permit.onGranted(decision.wait, now);
+        onPermitTimer(now);
+        return armTimer();
     }
-    m_permit.onGranted(decision.wait, now);
-    onPermitTimer(now);
-    armTimer();
+    m_permit.onRefused(decision, now);
+    onPermitRefused(now);
 }
 
 void RequestFlow::onPermitTimer(TimePoint now)
 {
-    if (m_stage != Stage::AwaitingPermit || now < m_permit.timerAt())
+    if (!m_permit.isOpen() || now < m_permit.timerAt())
         return;
-    if (!m_permit.isUndecided())
-        return sendPermitted(now);
-    m_permit.onUnanswered(now);
-    dispatchAfterRefusal(now);
-}
-
-void RequestFlow::sendPermitted(TimePoint now)
-{
+    if (m_permit.isUndecided()) {
+        m_permit.onUnanswered(now);
+        return onPermitRefused(now);
+    }
     const auto permitted = m_permit.isValid(now) ? std::optional(m_permit.upstream()) : std::nullopt;
     m_permit.end();
-    m_stage = Stage::Received;
-    if (!trySend(now, permitted) && m_stage != Stage::Done)
-        enqueueOrRefuse(now);
-}
-
-void RequestFlow::dispatchAfterRefusal(TimePoint now)
-{
-    m_stage = Stage::Received;
-    dispatch(now);
+    if (m_stage == Stage::AwaitingPermit)
+        return sendPermitted(permitted, now);
+    // The permit was for a second send of a request whose first one is still open.
+    const bool mayResend
+        = permitted && mayRetry(true, now) && m_context.retries.tryAcquire(m_target.service(), m_sends, now);
+    if (m_stage == Stage::HoldingAnswer)
+        return mayResend ? escalateTo(m_escalation, permitted, now) : releaseHeldAnswer(now);
+    if (mayResend)
+        replaceAttempt(permitted, now);
+}
+
+void RequestFlow::onPermitRefused(TimePoint now)
+{
+    if (m_stage == Stage::AwaitingPermit) {
+        m_stage = Stage::Received;
+        dispatch(now);
+    } else if (m_stage == Stage::HoldingAnswer && !escalate(now)) {
+        releaseHeldAnswer(now);
+    } else if (m_stage == Stage::AwaitingHead || m_stage == Stage::Streaming) {
+        m_attemptDeadline = now + m_permit.retryAfter();
+    }
     armTimer();
 }
 
@@ -228,6 +256,7 @@
     const catalog::UpstreamState* target = m_context.catalog.upstream(ticket.upstream);
     m_ticket = std::move(ticket);
     m_lastUpstream = m_ticket->upstream;
+    m_permit.onSent();
     m_stage = Stage::AwaitingHead;
     m_version = target->upstream.version;
     m_upstreamWasCold = target->isCold(now);
@@ -274,6 +303,7 @@
 
 void RequestFlow::closeAttempt(SendOutcome outcome, TimePoint now)
 {
+    m_permit.end();
     m_attemptDeadline.reset();
     if (!m_ticket)
         return;
@@ -293,6 +323,8 @@
         return http::HeadVerdict::Accept;
     }
     m_responseInfo = info;
+    // The attempt makes progress, so that its replacement is no longer wanted.
+    m_permit.end();
     applyUpstreamNotices(now);
     const bool success = isSuccess(info.status);
     if (success) {
@@ -305,17 +337,32 @@
         recordVersionSample(false, latencySample(now), now);
         if (m_target.selectsModel() && info.confidence)
             m_context.escalationPolicy.onConfidence(m_target.service(), m_target.modelName(), *info.confidence);
-        if (escalate(now))
-            return http::HeadVerdict::Accept;
     }
     if (!m_headSent)
         m_head = head;
-    const bool isStream = m_route->kind == catalog::RouteKind::Streaming && success && info.isEventStream;
+    if (!success || !escalate(now))
+        beginAnswer(now);
+    return http::HeadVerdict::Accept;
+}
+
+void RequestFlow::beginAnswer(TimePoint now)
+{
+    const bool isStream = m_route->kind == catalog::RouteKind::Streaming && isSuccess(m_responseInfo.status)
+        && m_responseInfo.isEventStream;
     m_stage = isStream ? Stage::Streaming : Stage::Buffering;
     if (isStream && m_route->mayRepeat())
         m_attemptDeadline = nextEventDeadline(now);
     armTimer();
-    return http::HeadVerdict::Accept;
+}
+
+void RequestFlow::releaseHeldAnswer(TimePoint now)
+{
+    const std::string bytes = std::exchange(m_heldBytes, {});
+    const bool ended = std::exchange(m_heldAnswerEnded, false);
+    beginAnswer(now);
+    onAttemptData(bytes, now);
+    if (ended && m_stage != Stage::Done)
+        onAttemptEnd(now);
 }
 
 void RequestFlow::applyUpstreamNotices(TimePoint now)
@@ -324,30 +371,11 @@
         m_context.balancer.onDraining(*m_ticket, now);
     if (m_responseInfo.status == STATUS_UNAVAILABLE && m_responseInfo.retryAfter)
         m_context.balancer.onBackoff(*m_ticket, *m_responseInfo.retryAfter, now);
-    applyLimitNotice(now);
-}
-
-void RequestFlow::applyLimitNotice(TimePoint now)
-{
-    // A misdirected request was answered by another upstream.
-    if (m_responseInfo.status == STATUS_MISDIRECTED)
-        return;
-    if (m_responseInfo.requestLimitUnreadable)
-        return report(event(FlowStep::LimitUnreadable), now);
-    // Errors may come from a part of the upstream that does not know the limit, so they do not end it.
-    if (!m_responseInfo.requestLimit && !isSuccess(m_responseInfo.status))
-        return;
-    const ratelimit::LimitAnswer answer { .upstream
-        = ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs),
-        .limit = m_responseInfo.requestLimit,
-        .sentAt = m_ticket->sentAt };
-    const ratelimit::LimitChange change = m_context.limits.onAnswer(answer, now);
-    if (change == ratelimit::LimitChange::None)
-        return;
-    FlowEvent notice = event(change == ratelimit::LimitChange::Named ? FlowStep::LimitNamed : FlowStep::LimitEnded);
-    notice.limit = m_responseInfo.requestLimit;
-    report(notice, now);
-    m_context.limitLink.announceLimits();
+    if (const auto step = applyLimitNotice(m_context, *m_ticket, m_responseInfo, now)) {
+        FlowEvent notice = event(*step);
+        notice.limit = m_responseInfo.requestLimit;
+        report(notice, now);
+    }
 }
 
 TimePoint RequestFlow::nextEventDeadline(TimePoint now) const
@@ -394,42 +422,57 @@
 {
     if (!m_target.selectsModel() || m_headSent || !m_responseInfo.confidence || !mayRetry(true, now))
         return false;
-    const std::size_t largest = m_target.models().size() - 1;
-    const auto estimate = m_context.balancer.estimateLatency(
-        m_target.requirements(largest, now), m_context.host.sendingHostCount(now), now);
-    if (!estimate)
+    const auto escalation
+        = chooseEscalation(m_context, m_target, *m_route, *m_responseInfo.confidence, m_receivedAt, now);
+    if (!escalation)
+        return false;
+    auto need = m_context.balancer.neededPermit(
+        m_target.requirements(escalation->model, now), m_context.host.sendingHostCount(now), now);
+    if (need && m_permit.isTired())
         return false;
-    const bool inTime
-        = now + estimate->timeToFirstToken() <= m_receivedAt + m_route->targetLatency && !isCongested(*estimate);
-    const auto next = m_context.escalationPolicy.next(
-        m_target.service(), m_target.models(), m_target.modelIndex(), *m_responseInfo.confidence, inTime);
-    if (!next || !m_context.retries.tryAcquire(m_target.service(), m_sends, now))
+    if (need) {
+        // The answer is kept until the permit is granted, because the larger model may not be had.
+        need->maxWait = std::min(need->maxWait, escalation->slack);
+        m_escalation = *escalation;
+        m_stage = Stage::HoldingAnswer;
+        m_attemptDeadline.reset();
+        m_permit.begin(*need, now);
+        armTimer();
+        return true;
+    }
+    if (!m_context.retries.tryAcquire(m_target.service(), m_sends, now))
         return false;
+    escalateTo(*escalation, std::nullopt, now);
+    return true;
+}
+
+void RequestFlow::escalateTo(const Escalation& escalation, const std::optional<UpstreamId>& permitted, TimePoint now)
+{
     FlowEvent escalated = event(FlowStep::Escalated);
     escalated.confidence = m_responseInfo.confidence;
-    escalated.expected = estimate->timeToFirstToken();
+    escalated.expected = escalation.expected;
     report(escalated, now);
     m_actions.cancelAttempt();
     closeAttempt(SendOutcome::Succeeded, now);
-    m_target.setModelIndex(*next);
-    dispatch(now);
+    m_heldBytes.clear();
+    m_heldAnswerEnded = false;
+    m_target.setModelIndex(escalation.model);
+    m_stage = Stage::Received;
+    if (keyIsValid(now) && !sendNow(m_target.requirements(now), permitted, now))
+        dispatch(now);
     armTimer();
-    return true;
-}
-
-// Whether the service's upstreams have too much pending prefill to take a larger model's prompt as well.
-bool RequestFlow::isCongested(const balancing::LatencyEstimate& estimate) const
-{
-    if (estimate.queueingTime <= m_context.options.uncongestedWait)
-        return false;
-    const Duration target = m_context.catalog.minTargetLatency(m_target.service()).value_or(m_route->targetLatency);
-    const Duration backlog = estimate.queueingTime + estimate.processingTime / 2;
-    return static_cast<double>(backlog.count())
-        > m_context.options.escalationTargetFraction * static_cast<double>(target.count());
 }
 
 void RequestFlow::onAttemptData(std::string_view bytes, TimePoint now)
 {
+    if (m_stage == Stage::HoldingAnswer) {
+        m_heldBytes += bytes;
+        if (m_heldBytes.size() > MAX_BUFFERED_BYTES) {
+            m_permit.end();
+            releaseHeldAnswer(now);
+        }
+        return;
+    }
     if (m_stage == Stage::Streaming) {
         // Only complete events count as progress: a stalled upstream may keep sending single bytes.
         bool anyCompleteEvent = false;
@@ -437,8 +480,8 @@
             anyCompleteEvent = true;
             forwardEvent(it);
         });
-        if (anyCompleteEvent && m_attemptDeadline && m_ticket)
-            m_attemptDeadline = nextEventDeadline(now);
+        if (anyCompleteEvent && m_ticket)
+            onStreamProgress(now);
         return;
     }
     if (m_stage != Stage::Buffering)
@@ -450,6 +493,13 @@
     }
 }
 
+void RequestFlow::onStreamProgress(TimePoint now)
+{
+    m_permit.end();
+    if (m_route->mayRepeat())
+        m_attemptDeadline = nextEventDeadline(now);
+}
+
 void RequestFlow::forwardEvent(const StreamEvent& it)
 {
     const bool alreadyForwarded = it.id && m_lastEventId && *it.id <= *m_lastEventId;
@@ -466,6 +516,10 @@
 
 void RequestFlow::onAttemptEnd(TimePoint now)
 {
+    if (m_stage == Stage::HoldingAnswer) {
+        m_heldAnswerEnded = true;
+        return;
+    }
     if (m_stage != Stage::Streaming)
         return onBufferedResponse(now);
     if (!m_splitter.incompleteEvent().empty())
@@ -516,7 +570,7 @@
     // A send that reached no upstream does not consume retry budget.
     if (!mayRetry(false, now))
         return failRequest(reason, now);
-    resend(reason, now);
+    resend(reason, std::nullopt, now);
 }
 
 void RequestFlow::onAttemptUnusable(bool mayHaveRun, std::string_view reason, TimePoint now)
@@ -530,14 +584,13 @@
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     if (!mayRetry(mayHaveRun, now) || !m_context.retries.tryAcquire(m_target.service(), m_sends, now))
         return failRequest(reason, now);
-    resend(reason, now);
+    resend(reason, std::nullopt, now);
 }
 
-void RequestFlow::resend(std::string_view reason, TimePoint now)
+void RequestFlow::resend(std::string_view reason, const std::optional<UpstreamId>& permitted, TimePoint now)
 {
     report(event(m_headSent ? FlowStep::Resumed : FlowStep::Retried, reason), now);
-    m_stage = Stage::Received;
-    dispatch(now);
+    sendPermitted(permitted, now);
     armTimer();
 }
 
@@ -601,19 +654,27 @@
 
 void RequestFlow::onProgressTimeout(TimePoint now)
 {
-    constexpr std::string_view REASON = "no progress within the timeout";
     m_attemptDeadline.reset();
-    const bool hasAlternative
-        = m_context.balancer.estimateLatency(m_target.requirements(now), m_context.host.sendingHostCount(now), now)
-              .has_value();
-    if (!hasAlternative || !mayRetry(true, now) || !m_context.retries.tryAcquire(m_target.service(), m_sends, now))
+    const int hosts = m_context.host.sendingHostCount(now);
+    if (!mayRetry(true, now) || !m_context.balancer.estimateLatency(m_target.requirements(now), hosts, now))
         return;
+    balancing::UpstreamRequirements others = m_target.requirements(now);
+    others.excludedUpstreams.push_back(m_ticket->upstream);
+    if (const auto need = m_context.balancer.neededPermit(others, hosts, now))
+        return m_permit.begin(*need, now);
+    if (m_context.retries.tryAcquire(m_target.service(), m_sends, now))
+        replaceAttempt(std::nullopt, now);
+}
+
+void RequestFlow::replaceAttempt(const std::optional<UpstreamId>& permitted, TimePoint now)
+{
+    constexpr std::string_view REASON = "no progress within the timeout";
     report(event(FlowStep::AttemptFailed, REASON), now);
     m_actions.cancelAttempt();
     m_mayHaveRun = true;
     m_target.exclude(m_ticket->upstream);
     closeAttempt(SendOutcome::Failed, now);
-    resend(REASON, now);
+    resend(REASON, permitted, now);
 }
 
 void RequestFlow::onCallerGone(TimePoint now)
@@ -652,9 +713,10 @@
 {
     if (m_stage == Stage::Done)
         return;
-    const TimePoint stageEnd
-        = m_stage == Stage::AwaitingPermit ? m_permit.timerAt() : m_attemptDeadline.value_or(m_deadline);
-    m_actions.scheduleTimer(std::min(m_deadline, stageEnd));
+    TimePoint next = std::min(m_deadline, m_attemptDeadline.value_or(m_deadline));
+    if (m_permit.isOpen())
+        next = std::min(next, m_permit.timerAt());
+    m_actions.scheduleTimer(next);
 }
 
 FlowEvent RequestFlow::event(FlowStep step, std::string_view reason) const
--- a/src/entry/tests/limitfleet_test.cpp
+++ b/src/entry/tests/limitfleet_test.cpp
@@ -424,6 +424,11 @@
     for (const SimulatedHost& it : fleet.hosts)
         open += it.requests.size();
     cr_assert_leq(open, 20, "%zu requests wait for permits", open);
+    std::uint64_t asked = 0;
+    for (const SimulatedHost& it : fleet.hosts)
+        asked += it.metrics->dump().value("permits_requested", 0ULL);
+    const auto requests = static_cast<std::uint64_t>(fleet.served + fleet.refused);
+    cr_assert_leq(asked, 5 * requests, "%lu permits asked for by %lu requests", asked, requests);
 }
 
 // Random losses, crashes, pauses and restarts of hosts. More seeds: FIREFLYHAVEN_FIRST_SEED, FIREFLYHAVEN_SEEDS.
--- a/src/entry/tests/requestflow_test.cpp
+++ b/src/entry/tests/requestflow_test.cpp
@@ -721,6 +721,73 @@
     cr_assert_eq(it.limitLink.requested.size(), 3, "it is known that there are no permits");
 }
 
+// Guards against requests that ask for permits without end while all upstreams refuse them for a moment only.
+Test(upstreamLimits, requestAsksForFewPermitsAndThenWaits)
+{
+    Deployment it;
+    limitPlainUpstreams(it);
+    FlowUnderTest flow(it, Deployment::request("/non-idempotent/1"));
+    TimePoint now = START;
+    for (; it.limitLink.requested.back().maxWait == Duration(0); now += Duration(25))
+        flow.flow.onPermitDecision(refusedFor(Duration(15)), now);
+    cr_assert_leq(it.limitLink.requested.size(), 4);
+    flow.flow.onPermitDecision({ .granted = true, .wait = Duration(15) }, now);
+    flow.flow.onTimer(now + Duration(15));
+    cr_assert_eq(flow.actions.attempts.size(), 1);
+}
+
+// Guards against answers that are thrown away for a larger model whose upstreams give no permits.
+Test(upstreamLimits, answerIsKeptUntilThePermitForALargerModelIsGranted)
+{
+    for (const bool granted : { true, false }) {
+        Deployment it;
+        limitEngines(it);
+        FlowUnderTest flow(it, Deployment::request("/stream/1"));
+        flow.flow.onPermitDecision(GRANTED, START);
+        ResponseInfo unsure = streamResponse(5);
+        unsure.requestLimit = LIMIT;
+        flow.receiveHead(unsure);
+        flow.receiveEvents(1, 3);
+        flow.flow.onAttemptEnd(START + Duration(30));
+        cr_assert(flow.actions.sentBytes.empty() && !flow.flow.isDone());
+        cr_assert_eq(flow.actions.cancelled, 0);
+        const std::size_t asked = it.limitLink.requested.size();
+        cr_assert_gt(asked, 1);
+        if (granted) {
+            flow.flow.onPermitDecision(GRANTED, START + Duration(32));
+            cr_assert_eq(flow.actions.attempts.size(), 2);
+            cr_assert(flow.actions.attempts.back().directives.model != catalog::ModelName("s"));
+            cr_assert(flow.actions.sentBytes.empty());
+            continue;
+        }
+        while (!flow.flow.isDone())
+            flow.flow.onPermitDecision(refusedFor(Duration(900)), START + Duration(32));
+        cr_assert_eq(flow.actions.attempts.size(), 1);
+        cr_assert(flow.actions.finished && flow.actions.sentBytes.find("id: 3") != std::string::npos);
+    }
+}
+
+// Guards against hung attempts that are cancelled for a permit that is then refused.
+Test(upstreamLimits, silentAttemptIsReplacedOnlyWithAPermit)
+{
+    Deployment it;
+    limitPlainUpstreams(it);
+    FlowUnderTest flow(it, Deployment::request("/idempotent/1"));
+    flow.flow.onPermitDecision(GRANTED, START);
+    TimePoint now = flow.actions.timerAt;
+    flow.flow.onTimer(now);
+    cr_assert_eq(it.limitLink.requested.size(), 2);
+    cr_assert_eq(flow.actions.cancelled, 0);
+    flow.flow.onPermitDecision(refusedFor(Duration(100)), now);
+    cr_assert_eq(flow.actions.cancelled, 0, "the attempt goes on");
+    now = flow.actions.timerAt;
+    flow.flow.onTimer(now);
+    flow.flow.onPermitDecision(GRANTED, now);
+    cr_assert_eq(flow.actions.cancelled, 1);
+    cr_assert_eq(flow.actions.attempts.size(), 2);
+    cr_assert(flow.actions.attempts[0].directives.upstream != flow.actions.attempts[1].directives.upstream);
+}
+
 Test(upstreamLimits, retriesNeedPermits)
 {
     Deployment it;
--- a/src/fleet/internal/limitexchange.cpp
+++ b/src/fleet/internal/limitexchange.cpp
@@ -113,16 +113,21 @@
     return std::nullopt;
 }
 
-HostId LimitExchange::issuerOf(ShortHash upstream, TimePoint now) const
+std::vector<HostId> LimitExchange::issuers(TimePoint now) const
 {
     const HostTable& hosts = m_exchange.hosts();
-    std::vector<HostId> candidates;
+    std::vector<HostId> first;
     for (const DataCentreId& dataCentre : hosts.dataCentres(now)) {
         const std::vector<HostId> ranked = hosts.ranked(dataCentre, now);
         if (!ranked.empty())
-            candidates.push_back(ranked.front());
+            first.push_back(ranked.front());
     }
-    return firstByRendezvous(candidates, std::to_string(upstream));
+    return first;
+}
+
+HostId LimitExchange::issuerOf(ShortHash upstream, TimePoint now) const
+{
+    return firstByRendezvous(issuers(now), std::to_string(upstream));
 }
 
 std::optional<Datagram> LimitExchange::permitRequest(const HostId& issuer, const PermitRequest& request) const
--- a/src/ratelimit/internal/permitissuer.cpp
+++ b/src/ratelimit/internal/permitissuer.cpp
@@ -11,7 +11,8 @@
 
 PermitIssuer::Schedule& PermitIssuer::scheduleOf(const UpstreamIncarnation& upstream, TimePoint now)
 {
-    const Schedule fresh { .startedAtMs = upstream.startedAtMs, .nextPermitAt = now + m_options.settlingTime };
+    const Schedule fresh { .startedAtMs = upstream.startedAtMs,
+        .nextPermitAt = std::max(now, m_issuersChangedAt + m_options.settlingTime) };
     Schedule& it = m_schedules.try_emplace(upstream.upstream, fresh).first->second;
     if (it.startedAtMs < upstream.startedAtMs)
         it = fresh;
