Give up a response whose bytes beside the body do not end

What callers saw: requests at an upstream that sent interim responses, a response to another request or a chunk's extension without end were held to their deadline, and a chunk extension grew the host's memory meanwhile. Cause: the parser bounds heads only; what is discarded or is framing had no bound. Change: a client connection fails once it has received 1 MiB for a request that is not part of the response's body.

--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -14,6 +15,8 @@
 
 constexpr std::size_t READ_BUFFER_BYTES = 8 * 1024;
 constexpr int FIRST_FINAL_STATUS = 200;
+// Heads, framing, interim responses and responses to other requests, which no caller bounds.
+constexpr std::size_t MAX_BYTES_BESIDE_BODY = 1024 * 1024;
 
 // Value of the "timeout" parameter of the Keep-Alive header; no value where there is none.
 std::optional<Duration> keepAliveTimeout(const ResponseHead& head)
@@ -47,6 +50,7 @@
     m_request = std::move(request);
     m_serializedHead = serializeHead(m_request.head, m_peer.text(), bodySize());
     m_sentBytes = 0;
+    m_bytesBesideBody = 0;
     m_paused = false;
     m_discardingResponse = false;
     m_observer = &observer;
@@ -151,7 +155,10 @@
     }
     if (ec)
         return fail("connection lost: " + ec.message());
+    m_bytesBesideBody += n;
     parse();
+    if (m_state == State::Busy && m_bytesBesideBody > MAX_BYTES_BESIDE_BODY)
+        return fail("over 1 MiB received that is no part of the response's body");
     read();
 }
 
@@ -160,8 +167,10 @@
     m_parser.emplace(
         m_request.head.method == "HEAD", [this](const ResponseHead& head) { onParsedHead(head); },
         [this](std::string_view piece) {
-            if (m_observer && !m_discardingResponse)
-                m_observer->onBodyData(piece);
+            if (!m_observer || m_discardingResponse)
+                return;
+            m_bytesBesideBody -= std::min(m_bytesBesideBody, piece.size());
+            m_observer->onBodyData(piece);
         });
 }
 
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -70,6 +70,8 @@
     OutgoingRequest m_request;
     std::string m_serializedHead;
     std::size_t m_sentBytes = 0;
+    // Received since the request was begun and not passed on as part of the response's body.
+    std::size_t m_bytesBesideBody = 0;
     boost::beast::flat_buffer m_buffer;
     std::optional<ResponseParser> m_parser;
     State m_state = State::New;
--- a/src/http/tests/eventclient_test.cpp
+++ b/src/http/tests/eventclient_test.cpp
@@ -1,104 +1,16 @@
-#include "fireflyhaven/http/eventclient.h"
-
-#include "loopfixture.h"
-
-#include <memory>
-#include <vector>
+#include "clientfixture.h"
 
 #include <criterion/criterion.h>
 
 using namespace fireflyhaven;
 using namespace fireflyhaven::http;
+using fireflyhaven::http::test::ClientFixture;
 using fireflyhaven::http::test::EventLoop;
 using fireflyhaven::http::test::RawPeer;
+using fireflyhaven::http::test::RecordingResponseObserver;
 
 namespace {
 
-class RecordingResponseObserver final : public IResponseObserver {
-public:
-    HeadVerdict onHead(const ResponseHead& head) override
-    {
-        status = head.status;
-        const bool skip = skipNext;
-        skipNext = false;
-        return skip ? HeadVerdict::Skip : HeadVerdict::Accept;
-    }
-    void onBodyData(std::string_view piece) override { body += piece; }
-    void onComplete() override { ++completions; }
-    void onFailed(SendState state, const std::string& reason) override
-    {
-        ++failures;
-        sendState = state;
-        failureReason = reason;
-    }
-    bool isDone() const { return completions + failures > 0; }
-
-    int status = 0;
-    std::string body;
-    int completions = 0;
-    int failures = 0;
-    SendState sendState = SendState::NothingSent;
-    std::string failureReason;
-    bool skipNext = false;
-};
-
-// A client, and an upstream that accepts connections and leaves the responses to the test.
-class ClientFixture {
-public:
-    ClientFixture()
-        : client(EventClient::create(loop.io(), loop.clock()))
-        , m_acceptor(loop.io(), { boost::asio::ip::make_address(test::uniqueLoopbackIp()), 0 })
-    {
-        address = { .ip = test::uniqueLoopbackIp(), .port = m_acceptor.local_endpoint().port() };
-        accept();
-    }
-
-    std::unique_ptr<ClientCall> start(
-        RecordingResponseObserver& response, const std::string& target = "/", std::string body = {})
-    {
-        OutgoingRequest request { .head = { .method = body.empty() ? "GET" : "POST", .target = target },
-            .body = std::make_shared<const std::string>(std::move(body)) };
-        return client->start(address, std::move(request), response);
-    }
-    RawPeer& awaitConnection(std::size_t n = 1)
-    {
-        loop.runUntil([&] { return connections.size() >= n; }, "a connection is accepted");
-        return *connections[n - 1];
-    }
-    // Performs one call on a new connection. The upstream responds with `bytes`.
-    RecordingResponseObserver callWithResponse(const std::string& bytes, bool closeAfterResponse)
-    {
-        RecordingResponseObserver response;
-        const std::size_t before = connections.size();
-        const auto call = start(response);
-        RawPeer& upstream = awaitConnection(before + 1);
-        upstream.await("\r\n\r\n");
-        upstream.send(bytes);
-        if (closeAfterResponse)
-            upstream.close();
-        loop.runUntil([&] { return response.isDone(); }, "the call is over");
-        return response;
-    }
-
-    EventLoop loop;
-    Endpoint address;
-    std::unique_ptr<EventClient> client;
-    std::vector<std::unique_ptr<RawPeer>> connections;
-
-private:
-    void accept()
-    {
-        m_acceptor.async_accept([this](boost::system::error_code ec, test::Tcp::socket socket) {
-            if (ec)
-                return;
-            connections.push_back(std::make_unique<RawPeer>(loop, std::move(socket)));
-            accept();
-        });
-    }
-
-    test::Tcp::acceptor m_acceptor;
-};
-
 const std::string GOOD_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
 
 }
