Give up a stream whose event does not end

What callers saw: an upstream that sent the bytes of one event without end grew the host's memory until the route's timeout. Cause: the splitter keeps an event until its blank line; only whole bodies were bounded. Change: an attempt is given up when an unfinished event exceeds 1 MiB, and resumed elsewhere where the route allows. Evidence: endlessBytes/eventWithoutEndIsGivenUp took 8 MiB without a cancel before and passes; bodyWithoutEndIsGivenUp shows that bodies were bounded.

--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -482,6 +482,10 @@
         });
         if (anyCompleteEvent && m_ticket)
             onStreamProgress(now);
+        if (m_splitter.incompleteEvent().size() > MAX_BUFFERED_BYTES) {
+            m_actions.cancelAttempt();
+            onAttemptUnusable(true, "event exceeds 1 MiB", now);
+        }
         return;
     }
     if (m_stage != Stage::Buffering)
--- a/src/entry/tests/requestflow_test.cpp
+++ b/src/entry/tests/requestflow_test.cpp
@@ -888,3 +888,41 @@
     second.receiveResponse(responseWithLimit(LIMIT), "body", START + Duration(50));
     cr_assert_eq(it.limitLink.announcements, 1, "nothing new");
 }
+
+namespace {
+
+constexpr std::size_t MANY_BYTES = 8 * 1024 * 1024;
+
+// Delivers bytes without end until the flow cancels the attempt; returns how many it took.
+std::size_t feedUntilCancelled(FlowUnderTest& flow, const std::string& piece)
+{
+    std::size_t fed = 0;
+    while (fed < MANY_BYTES && flow.actions.cancelled == 0) {
+        flow.flow.onAttemptData(piece, START + Duration(30));
+        fed += piece.size();
+    }
+    return fed;
+}
+
+}
+
+// Guards against memory that grows with what a broken upstream sends.
+Test(endlessBytes, bodyWithoutEndIsGivenUp)
+{
+    Deployment it;
+    FlowUnderTest flow(it, Deployment::request("/non-idempotent/1"));
+    flow.receiveHead(successResponse());
+    cr_assert_lt(feedUntilCancelled(flow, std::string(10'000, 'a')), MANY_BYTES);
+    cr_assert_eq(flow.actions.localStatus, STATUS_BAD_GATEWAY);
+}
+
+Test(endlessBytes, eventWithoutEndIsGivenUp)
+{
+    Deployment it;
+    FlowUnderTest flow(it, Deployment::request("/stream/1"));
+    flow.receiveHead(streamResponse());
+    flow.receiveEvents(1, 2);
+    cr_assert_lt(feedUntilCancelled(flow, std::string(10'000, 'a')), MANY_BYTES);
+    cr_assert_eq(flow.actions.attempts.size(), 2, "the stream is resumed elsewhere");
+    cr_assert(flow.actions.attempts.back().directives.lastEventId == 2);
+}
