Count answers right when an upstream's counts restart and when a source returns

What callers saw: with over 24 hosts, sound upstreams looked bad and versions on trial were judged by answers that were counted twice. Cause: (1) the counts of an upstream restart at 0 when it restarts or is removed, and the aggregator subtracted them from an unsigned sum; (2) trial counts of a source that returns after a silence were kept as those of an earlier incarnation, and its report named the same ones again. Change: a count that decreases has restarted; trial counts are kept only where the incarnation of the source has changed. The existing test of a restart now gives the restarted host another incarnation, as hosts have; its checks are unchanged.

--- a/include/fireflyhaven/fleet/reportaggregate.h
+++ b/include/fireflyhaven/fleet/reportaggregate.h
@@ -14,7 +14,8 @@
 class ReportAggregate {
 public:
     // Applies a report, which lists only the upstreams whose counters changed. `newIncarnation` is set if the source is
-    // new, restarted or returned after a silence, which resets its upstream counters.
+    // new, restarted or returned after a silence, which resets its upstream counters. Counts of answers that decrease
+    // have restarted at 0.
     void onReport(const HostId& source, const HostReport& report, bool newIncarnation, TimePoint now);
     // Removes the source's in-flight work, roll-out views and sessions from the sums. Its counted answers, including
     // those of versions on trial, stay.
@@ -27,14 +28,14 @@
 
 private:
     using TrialKey = std::pair<ShortHash, ShortHash>;
-    // Counters of one upstream in a source's last report, and its answer counts in the first report, which are the
-    // baseline.
+    // Counters of one upstream in a source's last report, and its answers since the first report.
     struct TrackedCounters {
         UpstreamCounters last;
-        std::uint32_t baselineGood = 0;
-        std::uint32_t baselineFailed = 0;
+        std::uint32_t countedGood = 0;
+        std::uint32_t countedFailed = 0;
     };
     struct Source {
+        std::uint64_t incarnation = 0;
         absl::flat_hash_map<ShortHash, TrackedCounters> upstreams;
         std::map<TrialKey, TrialCounters> trials;
         std::vector<RouteTimes> baselineTimes;
--- a/src/fleet/internal/reportaggregate.cpp
+++ b/src/fleet/internal/reportaggregate.cpp
@@ -11,6 +11,12 @@
 // The counters of an upstream without requests in flight stay in the digests for this long after their last change.
 constexpr Duration IDLE_UPSTREAM_RETENTION { 3000 };
 
+// Answers since the last report, if the counter may have restarted at 0 meanwhile.
+std::uint32_t answersSince(std::uint32_t last, std::uint32_t current)
+{
+    return current >= last ? current - last : current;
+}
+
 void addTrial(TrialCounters& sum, const TrialCounters& it)
 {
     sum.rollout = it.rollout;
@@ -31,6 +37,9 @@
     if (newIncarnation) {
         clearLoad(it);
         it.upstreams.clear();
+    }
+    // A source that returns after a silence goes on with its trial counters.
+    if (std::exchange(it.incarnation, report.incarnation) != report.incarnation) {
         for (const auto& [key, trial] : it.trials)
             addTrial(m_earlierTrials[key], trial);
         it.trials.clear();
@@ -68,15 +77,17 @@
 void ReportAggregate::applyCounters(Source& source, const UpstreamCounters& counters, TimePoint now)
 {
     const TrackedCounters first { .last
-        = { .upstream = counters.upstream, .good = counters.good, .failed = counters.failed },
-        .baselineGood = counters.good,
-        .baselineFailed = counters.failed };
+        = { .upstream = counters.upstream, .good = counters.good, .failed = counters.failed } };
     TrackedCounters& known = source.upstreams.try_emplace(counters.upstream, first).first->second;
     UpstreamSum& sum = m_sums[counters.upstream];
     sum.inFlight += counters.inFlight - known.last.inFlight;
     sum.pendingPrefillMs += counters.pendingPrefillMs - known.last.pendingPrefillMs;
-    sum.good += counters.good - known.last.good;
-    sum.failed += counters.failed - known.last.failed;
+    const std::uint32_t good = answersSince(known.last.good, counters.good);
+    const std::uint32_t failed = answersSince(known.last.failed, counters.failed);
+    sum.good += good;
+    sum.failed += failed;
+    known.countedGood += good;
+    known.countedFailed += failed;
     if (known.last != counters)
         sum.changedAt = now;
     known.last = counters;
@@ -107,8 +118,8 @@
             const TrackedCounters& own = excluded->upstreams.at(upstream);
             remaining.inFlight -= own.last.inFlight;
             remaining.pendingPrefillMs -= own.last.pendingPrefillMs;
-            remaining.good -= own.last.good - own.baselineGood;
-            remaining.failed -= own.last.failed - own.baselineFailed;
+            remaining.good -= own.countedGood;
+            remaining.failed -= own.countedFailed;
         }
         const bool isIdle = remaining.inFlight == 0 && remaining.pendingPrefillMs == 0
             && now - sum.changedAt >= IDLE_UPSTREAM_RETENTION;
--- a/src/fleet/tests/reportaggregate_test.cpp
+++ b/src/fleet/tests/reportaggregate_test.cpp
@@ -99,7 +99,9 @@
     it.onReport(B, trial(6, 0), true, START);
     it.onSilent(A);
     cr_assert_eq(sums(it).trials.items.front().failed, 4, "counters of a silent source stay");
-    it.onReport(A, trial(1, 1), true, START);
+    HostReport restarted = trial(1, 1);
+    restarted.incarnation = 2;
+    it.onReport(A, restarted, true, START);
     const TrialCounters sum = sums(it).trials.items.front();
     cr_assert_eq(sum.failed, 5, "counters of both incarnations are added");
     cr_assert_eq(sum.good, 12);
@@ -126,3 +128,32 @@
     cr_assert_not(it.isBusy(A, Duration(1000), START + Duration(1000)));
     cr_assert_not(it.isBusy(B, Duration(1000), START));
 }
+
+// Guards against sums that wrap below 0: the counts of an upstream restart at 0 when it restarts or is removed.
+Test(reportaggregate, restartedCountsOfAnUpstreamKeepTheSum)
+{
+    ReportAggregate it;
+    it.onReport(A, load(0, 0), true, START);
+    it.onReport(A, load(0, 100, 5), false, START);
+    it.onReport(A, load(0, 1, 0), false, START);
+    it.onReport(B, load(0, 0), true, START);
+    it.onReport(B, load(0, 7), false, START);
+    const UpstreamCounters sum = sums(it).upstreams.items.front();
+    cr_assert_eq(sum.good, 108);
+    cr_assert_eq(sum.failed, 5);
+    const UpstreamCounters ofOthers = sums(it, "a").upstreams.items.front();
+    cr_assert_eq(ofOthers.good, 7);
+    cr_assert_eq(ofOthers.failed, 0);
+}
+
+// Guards against counting the answers of a version on trial twice.
+Test(reportaggregate, trialCountsOfAReturningSourceCountOnce)
+{
+    ReportAggregate it;
+    it.onReport(A, trial(10, 2), true, START);
+    it.onSilent(A);
+    it.onReport(A, trial(10, 2), true, START);
+    const TrialCounters sum = sums(it).trials.items.front();
+    cr_assert_eq(sum.good, 10);
+    cr_assert_eq(sum.failed, 2);
+}
