Send queued requests as soon as a request ends

What callers saw: a queued request was sent up to 100 ms after a slot had become free. Cause: only the poll timer took requests from the service queues. Change: the end of each request schedules a dispatch of the queues, once.

--- a/src/entry/internal/requestdispatcher.cpp
+++ b/src/entry/internal/requestdispatcher.cpp
@@ -19,6 +19,7 @@
         m_byTicket.erase((*slot)->waitingTicket());
         // Deferred, because the driver is still executing one of its own callbacks.
         boost::asio::post(m_context.loop, [this, slot] { m_requests.erase(slot); });
+        scheduleDispatch();
     });
     m_byTicket[(*slot)->waitingTicket()] = slot->get();
     (*slot)->begin();
@@ -41,8 +42,17 @@
         it->second->onPermitDecision(decision);
 }
 
+void RequestDispatcher::scheduleDispatch()
+{
+    if (m_dispatchScheduled || m_serviceQueues.size() == 0)
+        return;
+    m_dispatchScheduled = true;
+    boost::asio::post(m_context.loop, [this] { dispatchQueued(); });
+}
+
 void RequestDispatcher::dispatchQueued()
 {
+    m_dispatchScheduled = false;
     notifyShed();
     const TimePoint now = m_context.clock.now();
     for (const ServiceName& service : m_serviceQueues.servicesWithRequests()) {
--- a/src/entry/internal/requestdispatcher.h
+++ b/src/entry/internal/requestdispatcher.h
@@ -23,6 +23,8 @@
 
 private:
     void notifyShed();
+    // Sends queued requests soon, because an upstream may have become free.
+    void scheduleDispatch();
 
     using Requests = std::list<std::unique_ptr<RequestDriver>>;
 
@@ -30,6 +32,7 @@
     admission::ServiceQueues& m_serviceQueues;
     Requests m_requests;
     std::map<admission::TicketId, RequestDriver*> m_byTicket;
+    bool m_dispatchScheduled = false;
 };
 
 }
