Let the whole tests use addresses of their own process, and an observer outlive its server

What developers saw: two runs of test_whole at the same time failed, since its loopback addresses were fixed; event_server/slowCallerPausesSender crashed unoptimised, since its observer was destroyed before the server. Change: addresses derive from the process id; the observer is declared before the server. No check is changed.

--- a/src/http/tests/eventserver_test.cpp
+++ b/src/http/tests/eventserver_test.cpp
@@ -208,6 +208,8 @@
 // `onWritable` must be called only after the caller has read data.
 Test(event_server, slowCallerPausesSender)
 {
+    // Outlives the server, which calls it until it is destroyed.
+    RecordingExchangeObserver observer;
     ServerFixture it;
     constexpr int RECEIVE_BYTES = 128 * 1024;
     test::Tcp::socket slowCaller(it.loop.io(), test::Tcp::v4());
@@ -215,7 +217,6 @@
     slowCaller.connect({ boost::asio::ip::make_address(it.address.ip), it.address.port });
     boost::asio::write(slowCaller, boost::asio::buffer("GET / HTTP/1.1\r\n" + HOST_HEADER + "\r\n"));
     Exchange& exchange = it.awaitExchange();
-    RecordingExchangeObserver observer;
     exchange.setObserver(&observer);
     exchange.sendHead({ .status = STATUS_OK }, std::nullopt);
     const std::string piece(1024UL * 1024, 'x');
--- a/tests/whole/localcluster.cpp
+++ b/tests/whole/localcluster.cpp
@@ -1,5 +1,6 @@
 #include "localcluster.h"
 
+#include "../../src/http/tests/loopfixture.h"
 #include "fireflyhaven/peer/peerclient.h"
 #include "peermessages.h"
 
@@ -29,9 +30,8 @@
 
 }
 
-LocalCluster::LocalCluster(int testNumber, int hostCount)
-    : m_testNumber(testNumber)
-    , m_hostCount(hostCount)
+LocalCluster::LocalCluster(int hostCount)
+    : m_hostCount(hostCount)
     , m_platform(100'000, m_clock)
 {
     spdlog::set_level(spdlog::level::off);
@@ -62,10 +62,7 @@
     m_servers.clear();
 }
 
-std::string LocalCluster::dataCentreIp(int dataCentre) const
-{
-    return "127.1." + std::to_string(m_testNumber) + "." + std::to_string(dataCentre + 1);
-}
+std::string LocalCluster::dataCentreIp(int dataCentre) const { return http::test::uniqueLoopbackIp(dataCentre + 1); }
 
 nlohmann::json LocalCluster::lists() const
 {
--- a/tests/whole/localcluster.h
+++ b/tests/whole/localcluster.h
@@ -13,11 +13,11 @@
 namespace fireflyhaven::tests {
 
 // Runs entry hosts, a platform stand-in and upstream stand-ins in this process on loopback addresses: per data centre
-// one host, two engines and one service. `testNumber` selects the addresses, so that the tests of one run do not
-// collide. Two runs on one machine at the same time collide, because they use the same addresses.
+// one host, two engines and one service. The addresses derive from the process id, so that tests that run at the same
+// time do not collide.
 class LocalCluster {
 public:
-    LocalCluster(int testNumber, int hostCount);
+    explicit LocalCluster(int hostCount);
     ~LocalCluster();
 
     // Waits until every host sees all hosts as live voters and has taken over the upstreams that it owns.
@@ -57,7 +57,6 @@
     std::string dataCentreIp(int dataCentre) const;
     nlohmann::json lists() const;
 
-    const int m_testNumber;
     const int m_hostCount;
     SystemClock m_clock;
     standin::PlatformStandin m_platform;
--- a/tests/whole/whole_test.cpp
+++ b/tests/whole/whole_test.cpp
@@ -54,7 +54,7 @@
 
 Test(whole, invalidRequestsAreRefusedBeforeReachingUpstreams)
 {
-    LocalCluster cluster(1, 1);
+    LocalCluster cluster(1);
     const std::vector<json> bodies { "", "{", "[]", "null", "{\"model\":1}", "{\"model\":\"auto\"}",
         "{\"model\":\"auto\",\"messages\":[]}", "{\"model\":\"auto\",\"messages\":[1]}",
         "{\"model\":\"auto\",\"messages\":[{\"role\":\"user\"}]}",
@@ -95,7 +95,7 @@
 
 Test(whole, engineFaultsNeverYieldIncompleteOrForeignAnswers)
 {
-    LocalCluster cluster(2, 2);
+    LocalCluster cluster(2);
     const std::string completeText = "w0 w1 w2 w3 w4 w5 w6 w7 ";
     for (const std::string engine : { "large0", "large1" })
         cluster.setUpstreamFault(engine, { { "cutAfter", 3 }, { "cutStreams", 1 } });
@@ -121,7 +121,7 @@
 
 Test(whole, retiredAndWithdrawnVersionsGetNoNewRequests)
 {
-    LocalCluster cluster(3, 2);
+    LocalCluster cluster(2);
     const http::Headers tag { { "X-Task", "tag" } };
     const auto first = cluster.chat(0, LocalCluster::chatBody(), tag);
     assertText(first.response.headers.at("x-model-version"), "small@1");
@@ -144,7 +144,7 @@
 
 Test(whole, badVersionIsSuspendedOnAllHosts)
 {
-    LocalCluster cluster(4, 2);
+    LocalCluster cluster(2);
     for (const std::string engine : { "small0", "small1" })
         cluster.setUpstreamFault(engine, { { "badShare", { { "small@1", 1.0 } } } });
     const http::Headers tag { { "X-Task", "tag" } };
@@ -161,7 +161,7 @@
 
 Test(whole, cascadeReplacesBadAnswerBeforeDelivery)
 {
-    LocalCluster cluster(9, 1);
+    LocalCluster cluster(1);
     json versions = LocalCluster::jsonBody(cluster.admin(0, "GET", "/admin/v1/config/versions"));
     versions["small@1"]["assumed_quality"] = 0.7;
     cluster.admin(0, "PUT", "/admin/v1/config/versions", versions);
@@ -178,7 +178,7 @@
 
 Test(whole, nonRepeatableCallRunsAtMostOnce)
 {
-    LocalCluster cluster(5, 2);
+    LocalCluster cluster(2);
     const std::string key = LocalCluster::freshIdempotencyKey("march");
     std::vector<std::thread> callerThreads;
     std::vector<http::CallOutcome> outcomes(8);
@@ -220,7 +220,7 @@
 
 Test(whole, requestsAreBilledOnceAcrossLogOutageAndHostDeath)
 {
-    LocalCluster cluster(6, 3);
+    LocalCluster cluster(3);
     const http::Headers sameRequestId { { "X-Request-Id", "request-1" } };
     cluster.chat(0, LocalCluster::chatBody(), sameRequestId);
     cluster.chat(1, LocalCluster::chatBody(), sameRequestId);
@@ -243,7 +243,7 @@
 
 Test(whole, drainRedirectsCallersAndShutdownCompletesStreams)
 {
-    LocalCluster cluster(7, 3);
+    LocalCluster cluster(3);
     cluster.applyAction(0, "drain", "data_centres", "dc1");
     const auto redirected = cluster.chat(1, LocalCluster::chatBody());
     cr_assert_eq(redirected.response.status, 307);
@@ -274,7 +274,7 @@
 
 Test(whole, configChangesAreValidatedAndInForceOnAllHosts)
 {
-    LocalCluster cluster(8, 2);
+    LocalCluster cluster(2);
     cr_assert_eq(cluster.get(0, "/admin/v1/state").response.status, 401);
     json lists = LocalCluster::jsonBody(cluster.admin(0, "GET", "/admin/v1/config"));
     json invalidLists = lists;
@@ -313,7 +313,7 @@
 
 Test(whole, ownerRevalidatesRequestBeforeSending)
 {
-    LocalCluster cluster(10, 2);
+    LocalCluster cluster(2);
     dispatch::RunRequest request { .workspace = WorkspaceId("ws"),
         .request = RequestId("r"),
         .attempt = 1,
@@ -356,7 +356,7 @@
 
 Test(whole, engineErrorIsReportedAsOutcomeUnknown)
 {
-    LocalCluster cluster(11, 1);
+    LocalCluster cluster(1);
     cluster.setUpstreamFault("large0", { { "failStatus", 500 } });
     assertRefusal(cluster.chat(0, LocalCluster::chatBody()), 502, "upstream_error", "unknown");
     cr_assert_gt(cluster.totalUpstreamRequests(), 0, "the engine ran the request");
