Count the time of attempts that are given up before their first token

Change: such an attempt counts with the time that it has taken, a lower bound, if that is over the expected time; neither as good nor as failed.

--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -127,7 +127,8 @@
     // permit for that is decided; returns false if the answer is to be used.
     bool escalate(TimePoint now);
     void escalateTo(const Escalation& escalation, const std::optional<UpstreamId>& permitted, TimePoint now);
-    void recordVersionSample(bool failed, std::optional<quality::LatencySample> latency, TimePoint now);
+    void recordVersionSample(rollout::AnswerKind kind, std::optional<quality::LatencySample> latency, TimePoint now);
+    void recordOverdueAttempt(TimePoint now);
     std::optional<quality::LatencySample> latencySample(TimePoint now) const;
     std::optional<double> reportedUtilisation() const;
     void onBufferedResponse(TimePoint now);
--- a/include/fireflyhaven/rollout/versionevaluator.h
+++ b/include/fireflyhaven/rollout/versionevaluator.h
@@ -10,14 +10,22 @@
 
 namespace fireflyhaven::rollout {
 
-// Evidence that one answer gives on its version.
+// How an attempt ended, as far as it is evidence on the upstream's version.
+enum class AnswerKind {
+    Good,
+    // The upstream itself failed.
+    Failed,
+    // Given up while its answer was overdue; its time is a lower bound.
+    Overdue,
+};
+
+// Evidence that one attempt gives on its version.
 struct AnswerSample {
     ServiceName service;
     catalog::RouteName route;
     catalog::SoftwareVersion version;
     UpstreamId upstream;
-    // Whether the upstream itself failed.
-    bool failed = false;
+    AnswerKind kind = AnswerKind::Good;
     // No value where the response time is no evidence of the version's speed.
     std::optional<quality::LatencySample> time;
     // Fraction of the upstream's slots in use; no value where it is unknown.
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -334,7 +334,7 @@
         firstToken.expected = m_ticket->expectedTimeToFirstToken();
         firstToken.observed = now - m_ticket->sentAt;
         report(firstToken, now);
-        recordVersionSample(false, latencySample(now), now);
+        recordVersionSample(rollout::AnswerKind::Good, latencySample(now), now);
         if (m_target.selectsModel() && info.confidence)
             m_context.escalationPolicy.onConfidence(m_target.service(), m_target.modelName(), *info.confidence);
     }
@@ -398,18 +398,30 @@
         .weight = expected + TIME_OFFSET_MS };
 }
 
-void RequestFlow::recordVersionSample(bool failed, std::optional<quality::LatencySample> latency, TimePoint now)
+void RequestFlow::recordVersionSample(
+    rollout::AnswerKind kind, std::optional<quality::LatencySample> latency, TimePoint now)
 {
     m_context.rollouts.onAnswer({ .service = m_target.service(),
                                     .route = m_route->name,
                                     .version = m_version,
                                     .upstream = m_ticket->upstream,
-                                    .failed = failed,
+                                    .kind = kind,
                                     .time = latency,
                                     .load = reportedUtilisation() },
         now);
 }
 
+// An attempt that is given up before its first token would be missing among the times of its version just because it is
+// slow.
+void RequestFlow::recordOverdueAttempt(TimePoint now)
+{
+    if (m_stage != Stage::AwaitingHead || !m_ticket)
+        return;
+    const auto sample = latencySample(now);
+    if (sample && sample->ratio > 1)
+        recordVersionSample(rollout::AnswerKind::Overdue, sample, now);
+}
+
 // Fraction of the upstream's slots that were in use when it responded.
 std::optional<double> RequestFlow::reportedUtilisation() const
 {
@@ -548,7 +560,7 @@
     const bool failed = m_responseInfo.status >= STATUS_SERVER_ERROR;
     if (failed) {
         m_mayHaveRun = true;
-        recordVersionSample(true, std::nullopt, now);
+        recordVersionSample(rollout::AnswerKind::Failed, std::nullopt, now);
     }
     if (failed && mayRetry(true, now))
         return onAttemptUnusable(true, "upstream returned a server error", now);
@@ -642,6 +654,7 @@
         return;
     if (now >= m_deadline) {
         const bool attemptOpen = m_ticket.has_value();
+        recordOverdueAttempt(now);
         if (attemptOpen)
             m_actions.cancelAttempt();
         m_mayHaveRun = m_mayHaveRun || attemptOpen;
@@ -674,6 +687,7 @@
 {
     constexpr std::string_view REASON = "no progress within the timeout";
     report(event(FlowStep::AttemptFailed, REASON), now);
+    recordOverdueAttempt(now);
     m_actions.cancelAttempt();
     m_mayHaveRun = true;
     m_target.exclude(m_ticket->upstream);
@@ -685,6 +699,7 @@
 {
     if (m_stage == Stage::Done)
         return;
+    recordOverdueAttempt(now);
     if (m_ticket)
         m_actions.cancelAttempt();
     closeAttempt(SendOutcome::Cancelled, now);
--- a/src/rollout/internal/versionevaluator.cpp
+++ b/src/rollout/internal/versionevaluator.cpp
@@ -45,8 +45,10 @@
 void BaselineAnswers::add(fleet::ShortHash route, const AnswerSample& answer)
 {
     Answers& it = m_routes[route];
-    it.good = it.good * BASELINE_DECAY + (answer.failed ? 0 : 1);
-    it.total = it.total * BASELINE_DECAY + 1;
+    if (answer.kind != AnswerKind::Overdue) {
+        it.good = it.good * BASELINE_DECAY + (answer.kind == AnswerKind::Good ? 1 : 0);
+        it.total = it.total * BASELINE_DECAY + 1;
+    }
     if (answer.time)
         it.times.add(*answer.time);
     it.times.limitSamples(MAX_BASELINE_TIMES);
@@ -104,16 +106,18 @@
 void VersionEvaluator::onAnswer(fleet::ShortHash route, const AnswerSample& answer, const BaselineAnswers& baseline)
 {
     Counts& counts = m_localCounts[route];
-    ++(answer.failed ? counts.failed : counts.good);
-    const std::uint32_t bit
-        = answer.failed ? 1U << (stableHash(answer.upstream.value()) % BITMAP_BITS) : std::uint32_t(0);
-    counts.badUpstreams |= bit;
-    const double load = answer.load.value_or(0);
-    counts.underLoad.failed += answer.failed && load >= MIN_FAILED_LOAD ? 1 : 0;
-    counts.underLoad.good += !answer.failed && load >= m_minGoodLoad ? 1 : 0;
     if (answer.time)
         counts.times.add(*answer.time);
-    addEvidence(route, answer.failed ? 0 : 1, answer.failed ? 1 : 0, bit, baseline);
+    if (answer.kind == AnswerKind::Overdue)
+        return;
+    const bool failed = answer.kind == AnswerKind::Failed;
+    ++(failed ? counts.failed : counts.good);
+    const std::uint32_t bit = failed ? 1U << (stableHash(answer.upstream.value()) % BITMAP_BITS) : std::uint32_t(0);
+    counts.badUpstreams |= bit;
+    const double load = answer.load.value_or(0);
+    counts.underLoad.failed += failed && load >= MIN_FAILED_LOAD ? 1 : 0;
+    counts.underLoad.good += !failed && load >= m_minGoodLoad ? 1 : 0;
+    addEvidence(route, failed ? 0 : 1, failed ? 1 : 0, bit, baseline);
 }
 
 void VersionEvaluator::addEvidence(fleet::ShortHash route, std::uint32_t good, std::uint32_t failed,
--- a/src/rollout/tests/rollout_test.cpp
+++ b/src/rollout/tests/rollout_test.cpp
@@ -36,7 +36,9 @@
 
 AnswerSample failure(const std::string& upstream)
 {
-    return { .service = SERVICE, .route = ROUTE, .version = NEW, .upstream = UpstreamId(upstream), .failed = true };
+    return {
+        .service = SERVICE, .route = ROUTE, .version = NEW, .upstream = UpstreamId(upstream), .kind = AnswerKind::Failed
+    };
 }
 
 // Several hosts that exchange reports, and one service whose new version may be bad.
@@ -75,7 +77,7 @@
                 .route = ROUTE,
                 .version = version,
                 .upstream = upstream,
-                .failed = bad && onNewVersion == Answer::Failed,
+                .kind = bad && onNewVersion == Answer::Failed ? AnswerKind::Failed : AnswerKind::Good,
                 .time = quality::LatencySample { .ratio = timeRatio * (onNew ? slowdownOf(onNewVersion) : 1) } },
             now);
         return onNew;
@@ -437,7 +439,7 @@
                                 .route = ROUTE,
                                 .version = onNew ? NEW : OLD,
                                 .upstream = UpstreamId(upstream),
-                                .failed = fails,
+                                .kind = fails ? AnswerKind::Failed : AnswerKind::Good,
                                 .load = load },
             now);
         // A failing upstream is taken out of use, and the load test continues at the next one.
@@ -542,7 +544,7 @@
                         .route = ROUTE,
                         .version = version,
                         .upstream = UpstreamId("u"),
-                        .failed = fails,
+                        .kind = fails ? AnswerKind::Failed : AnswerKind::Good,
                         .time = quality::LatencySample {},
                         .load = 0.65 },
             START + Duration(n));
--- a/tests/entry/rolloutstatuswriter_test.cpp
+++ b/tests/entry/rolloutstatuswriter_test.cpp
@@ -94,7 +94,7 @@
                                         .route = catalog::RouteName("r"),
                                         .version = TARGET,
                                         .upstream = UpstreamId("u" + std::to_string(n % 4)),
-                                        .failed = true },
+                                        .kind = rollout::AnswerKind::Failed },
             it.clock.now());
     it.run(Duration(1'000), false, true);
     cr_assert_eq(it.writtenCount(), 2, "expected one running and one rolled-back status");
