Split the request flow: evidence of attempts, escalation, answers

Change: what attempts tell the roll-outs is AttemptEvidence, the choice of a larger model stands in escalation.cpp, the handling of responses in requestflowanswers.cpp. Code is moved, not changed. Evidence: 79 of 79 entry tests.

--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fireflyhaven/entry/eventsplitter.h"
+#include "fireflyhaven/entry/attemptevidence.h"
 #include "fireflyhaven/entry/escalation.h"
 #include "fireflyhaven/entry/permitwait.h"
 #include "fireflyhaven/entry/requesttarget.h"
@@ -127,10 +128,8 @@
     // permit for that is decided; returns false if the answer is to be used.
     bool escalate(TimePoint now);
     void escalateTo(const Escalation& escalation, const std::optional<UpstreamId>& permitted, TimePoint now);
-    void recordVersionSample(rollout::AnswerKind kind, std::optional<quality::LatencySample> latency, TimePoint now);
-    void recordOverdueAttempt(TimePoint now);
-    std::optional<quality::LatencySample> latencySample(TimePoint now) const;
-    std::optional<double> reportedUtilisation() const;
+    // Tells the roll-outs of an attempt that is given up before its first token.
+    void recordGivenUpAttempt(TimePoint now);
     void onBufferedResponse(TimePoint now);
     void forwardEvent(const StreamEvent& event);
     // Aborts a response that is partly sent; otherwise answers 502 if the request may have run and 503 if it has not.
@@ -144,7 +143,6 @@
     void armTimer();
     void report(FlowEvent event, TimePoint now);
     FlowEvent event(FlowStep step, std::string_view reason = {}) const;
-    void recordSessionUse(TimePoint now);
 
     FlowContext& m_context;
     IFlowActions& m_actions;
@@ -164,11 +162,10 @@
     // Whether an upstream may have run the request.
     bool m_mayHaveRun = false;
     std::optional<balancing::Ticket> m_ticket;
+    AttemptEvidence m_evidence;
     PermitWait m_permit;
     // Upstream of the latest attempt, for the log.
     std::optional<UpstreamId> m_lastUpstream;
-    catalog::SoftwareVersion m_version;
-    bool m_upstreamWasCold = false;
     ResponseInfo m_responseInfo;
     http::ResponseHead m_head;
     std::string m_body;
