--- a/include/fireflyhaven/entry/permitwait.h
+++ b/include/fireflyhaven/entry/permitwait.h
@@ -18,8 +18,8 @@
     void begin(const balancing::PermitNeed& need, TimePoint now);
     // The request was sent, so that refusals of the past no longer count.
     void onSent() { m_refusals = 0; }
-    // Whether so many permits were refused to the request that it no longer asks for one where it can do without.
-    bool isTired() const;
+    // Whether so many permits were refused to the request that it asks for another one only if it can wait for it.
+    bool isRefusedRepeatedly() const;
     // Ends the wait, whatever its state.
     void end();
 
--- a/include/fireflyhaven/fleet/limitexchange.h
+++ b/include/fireflyhaven/fleet/limitexchange.h
@@ -5,16 +5,6 @@
 
 namespace fireflyhaven::fleet {
 
-// How far limits travel from the host that learned them.
-enum class LimitScope {
-    // Limits that this host's own answers have shown.
-    Host,
-    // Those, and limits that other hosts of the data centre have reported.
-    DataCentre,
-    // All known limits.
-    Fleet,
-};
-
 // Supplies this host's knowledge of request limits, and receives what other hosts send of limits and permits.
 class ILimitDelegate {
 public:
--- a/include/fireflyhaven/fleet/types/limitmessages.h
+++ b/include/fireflyhaven/fleet/types/limitmessages.h
@@ -26,6 +26,16 @@
     }
 };
 
+// Which limits a host tells: how far they have come on their way from the host that learned them.
+enum class LimitScope {
+    // Limits that this host's own answers have shown.
+    Host,
+    // Those, and limits that other hosts of the data centre have reported.
+    DataCentre,
+    // All known limits.
+    Fleet,
+};
+
 // Request limits that the sender, or hosts that report to it, have learned from answers.
 struct LimitNotices {
     HostId from;
--- a/include/fireflyhaven/ratelimit/limittable.h
+++ b/include/fireflyhaven/ratelimit/limittable.h
@@ -3,7 +3,7 @@
 #include "fireflyhaven/common/clock.h"
 #include "fireflyhaven/common/types/ids.h"
 #include "fireflyhaven/common/types/requestrate.h"
-#include "fireflyhaven/fleet/limitexchange.h"
+#include "fireflyhaven/fleet/types/limitmessages.h"
 #include "fireflyhaven/ratelimit/types/permit.h"
 
 #include <absl/container/flat_hash_map.h>
--- a/src/entry/internal/limitlink.cpp
+++ b/src/entry/internal/limitlink.cpp
@@ -32,8 +32,7 @@
     const TimePoint now = m_context.clock.now();
     m_context.metrics.count("permits_requested");
     if (isIssuerOf(need.incarnation.upstream, now))
-        return deliver(
-            request, decide({ .upstream = need.incarnation, .limit = need.limit, .maxWait = need.maxWait }, now));
+        return deliver(request, decide(need.incarnation, need.maxWait, now));
     const TimePoint answeredAt = m_context.limits.answeredAt(need.incarnation).value_or(now);
     const fleet::PermitRequest message { .number = ++m_lastNumber,
         .limit = { .upstream = need.incarnation.upstream,
@@ -61,15 +60,15 @@
 
 void LimitLink::announceLimits() { m_context.send(m_context.exchange().sendNotices(m_context.clock.now())); }
 
-ratelimit::PermitDecision LimitLink::decide(const ratelimit::PermitTerms& terms, TimePoint now)
+ratelimit::PermitDecision LimitLink::decide(
+    const ratelimit::UpstreamIncarnation& upstream, Duration maxWait, TimePoint now)
 {
-    // The limit may have changed or ended since the request was made.
-    const auto limit = m_context.limits.limitOf(terms.upstream);
+    // The limit may have ended since the request was made.
+    const auto limit = m_context.limits.limitOf(upstream);
     if (!limit)
         return { .granted = true };
-    ratelimit::PermitTerms current = terms;
-    current.limit = *limit;
-    const ratelimit::PermitDecision decision = m_issuer.decide(current, now);
+    const ratelimit::PermitDecision decision
+        = m_issuer.decide({ .upstream = upstream, .limit = *limit, .maxWait = maxWait }, now);
     m_context.metrics.count(decision.granted ? "permits_issued" : "permits_withheld");
     return decision;
 }
@@ -113,10 +112,8 @@
             .waitMs = milliseconds(MISDIRECTED_WAIT),
             .retryAfterMs = milliseconds(MISDIRECTED_WAIT) };
     }
-    const ratelimit::PermitTerms terms { .upstream = { .upstream = upstream, .startedAtMs = request.limit.startedAtMs },
-        .limit = request.limit.limit.value_or(RequestRate()),
-        .maxWait = Duration(request.maxWaitMs) };
-    const ratelimit::PermitDecision decision = decide(terms, now);
+    const ratelimit::UpstreamIncarnation incarnation { .upstream = upstream, .startedAtMs = request.limit.startedAtMs };
+    const ratelimit::PermitDecision decision = decide(incarnation, Duration(request.maxWaitMs), now);
     return { .number = request.number,
         .granted = decision.granted,
         .waitMs = milliseconds(decision.wait),
--- a/src/entry/internal/limitlink.h
+++ b/src/entry/internal/limitlink.h
@@ -44,7 +44,7 @@
         TimePoint askedAt {};
     };
 
-    ratelimit::PermitDecision decide(const ratelimit::PermitTerms& terms, TimePoint now);
+    ratelimit::PermitDecision decide(const ratelimit::UpstreamIncarnation& upstream, Duration maxWait, TimePoint now);
     void deliver(admission::TicketId request, const ratelimit::PermitDecision& decision);
     bool isIssuerOf(fleet::ShortHash upstream, TimePoint now) const;
     // Writes the upstream's id rather than its hash to the log, if the upstream is known.
--- a/src/entry/internal/permitwait.cpp
+++ b/src/entry/internal/permitwait.cpp
@@ -23,7 +23,7 @@
 {
     end();
     m_need = need;
-    if (isTired())
+    if (isRefusedRepeatedly())
         m_need->maxWait = m_need->longestWait;
     m_answerDueAt = now + m_context.options.permitTimeout;
     m_context.balancer.onPermitRequested(need.upstream);
@@ -38,7 +38,7 @@
     m_validAt.reset();
 }
 
-bool PermitWait::isTired() const { return m_refusals >= MAX_REFUSALS; }
+bool PermitWait::isRefusedRepeatedly() const { return m_refusals >= MAX_REFUSALS; }
 
 void PermitWait::onGranted(Duration wait, TimePoint now)
 {
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -115,7 +115,7 @@
     if (!keyIsValid(now))
         return false;
     const balancing::UpstreamRequirements requirements = m_target.requirements(now);
-    if (m_permit.isTired() && sendNow(requirements, std::nullopt, now))
+    if (m_permit.isRefusedRepeatedly() && sendNow(requirements, std::nullopt, now))
         return true;
     const auto need = m_context.balancer.neededPermit(requirements, m_context.host.sendingHostCount(now), now);
     if (!need)
--- a/src/entry/internal/requestflowanswers.cpp
+++ b/src/entry/internal/requestflowanswers.cpp
@@ -114,7 +114,7 @@
         return false;
     auto need = m_context.balancer.neededPermit(
         m_target.requirements(escalation->model, now), m_context.host.sendingHostCount(now), now);
-    if (need && m_permit.isTired())
+    if (need && m_permit.isRefusedRepeatedly())
         return false;
     if (need) {
         // The answer is kept until the permit is granted, because the larger model may not be had.
--- a/src/ratelimit/tests/permitissuer_test.cpp
+++ b/src/ratelimit/tests/permitissuer_test.cpp
@@ -16,7 +16,7 @@
 constexpr RequestRate LIMIT { 2 };
 constexpr Duration INTERVAL { 500 };
 
-// An issuer that takes up its office at START.
+// An issuer that became one at START.
 PermitIssuer newIssuer()
 {
     PermitIssuer it;
