--- a/src/entry/tests/flowfixture.h
+++ b/src/entry/tests/flowfixture.h
@@ -192,6 +192,13 @@
         .observer = steps };
 };
 
+// Leaves one upstream of the service without models.
+inline void keepOnePlainUpstream(Deployment& it)
+{
+    it.catalog.onUpstreamGone(UpstreamId("p1"), std::nullopt);
+    it.catalog.onUpstreamGone(UpstreamId("p2"), std::nullopt);
+}
+
 // The flow of one request in a deployment, with helpers that deliver responses to it.
 class FlowUnderTest {
 public:
