Rank the hosts for the issuers of permits once a second, not in each tick

Cause: each tick of 100 ms ranked the hosts of all data centres to see whether the issuers have changed. Change: looked for once a second, and at each request for a permit.

--- a/include/fireflyhaven/fleet/limitexchange.h
+++ b/include/fireflyhaven/fleet/limitexchange.h
@@ -35,8 +35,8 @@
     const DataCentreId& ownDataCentre() const { return m_exchange.hosts().ownDataCentre(); }
     // The hosts that issue permits: the first by rank of each data centre.
     std::vector<HostId> issuers(TimePoint now) const;
-    // The host that issues the permits of this upstream; this host itself if no other is known.
-    HostId issuerOf(ShortHash upstream, TimePoint now) const;
+    // The one of these hosts that issues the permits of this upstream.
+    static const HostId& issuerOf(ShortHash upstream, const std::vector<HostId>& issuers);
     // Addresses the request to the issuer; no value if the issuer is not another known host.
     std::optional<Datagram> permitRequest(const HostId& issuer, const PermitRequest& request) const;
 
--- a/src/entry/internal/limitlink.cpp
+++ b/src/entry/internal/limitlink.cpp
@@ -13,6 +13,9 @@
 // A host that is not the issuer refuses for this long, until the hosts agree on the issuer again.
 constexpr Duration MISDIRECTED_WAIT { 200 };
 
+// Interval at which changes of the issuers are looked for while nobody asks for permits.
+constexpr Duration ISSUER_UPDATE_INTERVAL { 1000 };
+
 std::uint32_t milliseconds(Duration it)
 {
     return static_cast<std::uint32_t>(std::clamp<Duration::rep>(it.count(), 0, UINT32_MAX));
@@ -40,7 +43,7 @@
             .limit = need.limit,
             .ageMs = milliseconds(now - answeredAt) },
         .maxWaitMs = milliseconds(need.maxWait) };
-    const HostId issuer = m_context.exchange().issuerOf(need.incarnation.upstream, now);
+    const HostId& issuer = issuerOf(need.incarnation.upstream, now);
     if (const auto datagram = m_context.exchange().permitRequest(issuer, message)) {
         m_openRequests[message.number] = { .request = request, .askedAt = now };
         m_context.send({ *datagram });
@@ -53,9 +56,28 @@
     m_context.deliver(request, decision);
 }
 
-bool LimitLink::isIssuerOf(fleet::ShortHash upstream, TimePoint now) const
+const HostId& LimitLink::issuerOf(fleet::ShortHash upstream, TimePoint now)
+{
+    updateIssuers(now);
+    return fleet::LimitExchange::issuerOf(upstream, m_issuers);
+}
+
+bool LimitLink::isIssuerOf(fleet::ShortHash upstream, TimePoint now)
+{
+    return issuerOf(upstream, now) == m_context.exchange().self();
+}
+
+void LimitLink::updateIssuers(TimePoint now)
 {
-    return m_context.exchange().issuerOf(upstream, now) == m_context.exchange().self();
+    m_issuersUpdatedAt = now;
+    std::vector<HostId> issuers = m_context.exchange().issuers(now);
+    if (issuers == m_issuers)
+        return;
+    m_issuers = std::move(issuers);
+    m_issuer.onIssuersChanged(now);
+    m_issuer.retainIf([this](fleet::ShortHash upstream) {
+        return fleet::LimitExchange::issuerOf(upstream, m_issuers) == m_context.exchange().self();
+    });
 }
 
 void LimitLink::announceLimits() { m_context.send(m_context.exchange().sendNotices(m_context.clock.now())); }
@@ -76,11 +98,9 @@
 void LimitLink::tick(TimePoint now)
 {
     std::erase_if(m_openRequests, [now](const auto& it) { return now - it.second.askedAt >= REQUEST_RETENTION; });
-    std::vector<HostId> issuers = m_context.exchange().issuers(now);
-    if (issuers != m_issuers)
-        m_issuer.onIssuersChanged(now);
-    m_issuers = std::move(issuers);
-    m_issuer.retainIf([&](fleet::ShortHash upstream) { return isIssuerOf(upstream, now); });
+    // Ranking all hosts is too much work for each tick.
+    if (now - m_issuersUpdatedAt >= ISSUER_UPDATE_INTERVAL)
+        updateIssuers(now);
 }
 
 std::vector<fleet::UpstreamLimit> LimitLink::limitNotices(fleet::LimitScope scope, TimePoint now) const
--- a/src/entry/internal/limitlink.h
+++ b/src/entry/internal/limitlink.h
@@ -46,14 +46,18 @@
 
     ratelimit::PermitDecision decide(const ratelimit::UpstreamIncarnation& upstream, Duration maxWait, TimePoint now);
     void deliver(admission::TicketId request, const ratelimit::PermitDecision& decision);
-    bool isIssuerOf(fleet::ShortHash upstream, TimePoint now) const;
+    // The host that issues the permits of the upstream now.
+    const HostId& issuerOf(fleet::ShortHash upstream, TimePoint now);
+    bool isIssuerOf(fleet::ShortHash upstream, TimePoint now);
+    // Takes over which hosts issue permits.
+    void updateIssuers(TimePoint now);
     // Writes the upstream's id rather than its hash to the log, if the upstream is known.
     std::string nameOf(fleet::ShortHash upstream) const;
 
     const Context m_context;
     ratelimit::PermitIssuer m_issuer;
-    // The hosts that issue permits, as of the last tick.
     std::vector<HostId> m_issuers;
+    TimePoint m_issuersUpdatedAt {};
     // Requests for permits that other hosts have not answered, by number.
     std::map<std::uint32_t, OpenRequest> m_openRequests;
     std::uint32_t m_lastNumber = 0;
--- a/src/entry/tests/limitfleet_test.cpp
+++ b/src/entry/tests/limitfleet_test.cpp
@@ -146,7 +146,8 @@
     // The host that issues the permits of the limited upstream, as the first host knows it.
     SimulatedHost& issuer()
     {
-        const HostId id = hosts.front().limitExchange->issuerOf(fleet::shortHashOf(LIMITED), now);
+        const HostId id
+            = fleet::LimitExchange::issuerOf(fleet::shortHashOf(LIMITED), hosts.front().limitExchange->issuers(now));
         return *std::find_if(hosts.begin(), hosts.end(), [&](const SimulatedHost& it) { return it.id == id; });
     }
 
--- a/src/fleet/internal/limitexchange.cpp
+++ b/src/fleet/internal/limitexchange.cpp
@@ -125,9 +125,9 @@
     return first;
 }
 
-HostId LimitExchange::issuerOf(ShortHash upstream, TimePoint now) const
+const HostId& LimitExchange::issuerOf(ShortHash upstream, const std::vector<HostId>& issuers)
 {
-    return firstByRendezvous(issuers(now), std::to_string(upstream));
+    return firstByRendezvous(issuers, std::to_string(upstream));
 }
 
 std::optional<Datagram> LimitExchange::permitRequest(const HostId& issuer, const PermitRequest& request) const
