Keep the time-out of an escalated attempt apart from a refused permit

What callers saw: nothing yet; found by reading the diff. Where a permit for a larger model was refused and the request then went to an engine without a limit, the new attempt was given up for lack of progress after the time that the refusal had named, some ten to hundreds of milliseconds. Cause: one chain of conditions looked at the stage again after it had changed. Change: the refusal is handled by the stage that asked.

--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -180,12 +180,17 @@
 
 void RequestFlow::onPermitRefused(TimePoint now)
 {
-    if (m_stage == Stage::AwaitingPermit) {
+    switch (m_stage) {
+    case Stage::AwaitingPermit:
         m_stage = Stage::Received;
         dispatch(now);
-    } else if (m_stage == Stage::HoldingAnswer && !escalate(now)) {
-        releaseHeldAnswer(now);
-    } else if (m_stage == Stage::AwaitingHead || m_stage == Stage::Streaming) {
+        break;
+    case Stage::HoldingAnswer:
+        if (!escalate(now))
+            releaseHeldAnswer(now);
+        break;
+    default:
+        // The permit was for the replacement of an open attempt, which goes on meanwhile.
         m_attemptDeadline = now + m_permit.retryAfter();
     }
     armTimer();
--- a/src/entry/tests/requestlimits_test.cpp
+++ b/src/entry/tests/requestlimits_test.cpp
@@ -232,6 +232,32 @@
     }
 }
 
+// Guards against a time-out of the refused permit that applies to the attempt at the larger model.
+Test(upstreamLimits, escalationAfterARefusalHasItsOwnTimeout)
+{
+    Deployment it;
+    limitUpstream(it, "e0");
+    limitUpstream(it, "e1");
+    int escalatedAfterRefusal = 0;
+    for (int n = 0; n < 30; ++n) {
+        FlowUnderTest flow(it, Deployment::request("/stream/" + std::to_string(n)));
+        while (flow.actions.attempts.empty())
+            flow.flow.onPermitDecision(GRANTED, START);
+        ResponseInfo unsure = streamResponse(5);
+        unsure.requestLimit = knownLimit(it, flow.actions.attempts.front().directives.upstream);
+        const std::size_t asked = it.limitLink.requested.size();
+        flow.receiveHead(unsure);
+        const bool held = it.limitLink.requested.size() > asked;
+        for (int refusals = 0; refusals < 4 && flow.actions.attempts.size() == 1; ++refusals)
+            flow.flow.onPermitDecision(refusedFor(Duration(30)), START + Duration(20));
+        if (!held || flow.actions.attempts.size() == 1)
+            continue;
+        ++escalatedAfterRefusal;
+        cr_assert(flow.actions.timerAt >= START + Duration(20) + it.context.options.minStreamingTimeout);
+    }
+    cr_assert_gt(escalatedAfterRefusal, 0);
+}
+
 // Guards against hung attempts that are cancelled for a permit that is then refused.
 Test(upstreamLimits, silentAttemptIsReplacedOnlyWithAPermit)
 {
