Drop the held events of an attempt that fails

What callers saw: nothing yet; found by reading the diff. Where an answer was held back for a larger model's permit and its attempt then failed, its events stayed, and a later answer that was held too was joined to them. Cause: only the escalation and the release cleared what is held. Change: each send begins with nothing held. Evidence: upstreamLimits/heldEventsOfAFailedAttemptAreDropped fails on the code before (two runs in one answer) and passes; 81 of 81 entry tests.

--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -254,6 +254,8 @@
     m_stage = Stage::AwaitingHead;
     m_splitter = {};
     m_body.clear();
+    m_heldBytes.clear();
+    m_heldAnswerEnded = false;
     ++m_sends;
     m_attemptDeadline.reset();
     if (m_route->mayRepeat()) {
--- a/src/entry/tests/requestlimits_test.cpp
+++ b/src/entry/tests/requestlimits_test.cpp
@@ -232,6 +232,28 @@
     }
 }
 
+// Guards against an answer that is joined from two runs: the first one fails while its events are held back.
+Test(upstreamLimits, heldEventsOfAFailedAttemptAreDropped)
+{
+    Deployment it;
+    limitEngines(it);
+    FlowUnderTest flow(it, Deployment::request("/stream/1"));
+    flow.flow.onPermitDecision(GRANTED, START);
+    ResponseInfo unsure = streamResponse(5);
+    unsure.requestLimit = LIMIT;
+    flow.receiveHead(unsure);
+    flow.flow.onAttemptData("id: 1\ndata: first run\n\n", START + Duration(25));
+    flow.flow.onAttemptFailed(http::SendState::MaybeReceived, "reset", START + Duration(30));
+    flow.flow.onPermitDecision(GRANTED, START + Duration(32));
+    cr_assert_eq(flow.actions.attempts.size(), 2);
+    flow.receiveHead(unsure, START + Duration(50));
+    flow.flow.onAttemptData("id: 1\ndata: second run\n\n", START + Duration(55));
+    flow.flow.onAttemptEnd(START + Duration(60));
+    while (!flow.flow.isDone())
+        flow.flow.onPermitDecision(refusedFor(Duration(900)), START + Duration(62));
+    cr_assert_str_eq(flow.actions.sentBytes.c_str(), "id: 1\ndata: second run\n\n");
+}
+
 // Guards against a time-out of the refused permit that applies to the attempt at the larger model.
 Test(upstreamLimits, escalationAfterARefusalHasItsOwnTimeout)
 {
