Ignore late replies to earlier requests for a permit

What callers saw: nothing yet; found by reading the diff. A request that had given up on one upstream's permit and asked for another one's took a late permit of the first for the second, which then got a request too many. Cause: decisions are delivered by the request, not by what it asks for. Change: a request that asks anew is no longer open for earlier replies.

--- a/src/entry/internal/limitlink.cpp
+++ b/src/entry/internal/limitlink.cpp
@@ -44,6 +44,8 @@
             .ageMs = milliseconds(now - answeredAt) },
         .maxWaitMs = milliseconds(need.maxWait) };
     const HostId& issuer = issuerOf(need.incarnation.upstream, now);
+    // A late reply to an earlier request would count for another upstream.
+    std::erase_if(m_openRequests, [request](const auto& it) { return it.second.request == request; });
     if (const auto datagram = m_context.exchange().permitRequest(issuer, message)) {
         m_openRequests[message.number] = { .request = request, .askedAt = now };
         m_context.send({ *datagram });
--- a/src/entry/tests/limitfleet_test.cpp
+++ b/src/entry/tests/limitfleet_test.cpp
@@ -409,6 +409,30 @@
     }
 }
 
+// Guards against a late permit that is used for another upstream than the one that it was granted for.
+Test(limitfleet, lateReplyToAnEarlierRequestIsIgnored)
+{
+    SimulatedFleet fleet({ .dataCentres = 3, .hostsInEach = 3 });
+    fleet.run(DISCOVERY_TIME);
+    const std::vector<HostId> issuers = fleet.hosts.front().limitExchange->issuers(fleet.now);
+    SimulatedHost& host = *std::find_if(fleet.hosts.begin(), fleet.hosts.end(),
+        [&](const SimulatedHost& it) { return std::find(issuers.begin(), issuers.end(), it.id) == issuers.end(); });
+    const admission::TicketId request(1);
+    const auto ask = [&](const std::string& upstream) {
+        const UpstreamId id(upstream);
+        host.link->requestPermit(
+            request, { .upstream = id, .incarnation = ratelimit::incarnationOf(id, 0), .limit = RequestRate(1) });
+    };
+    // A link numbers its requests from the time of its start.
+    const auto first = static_cast<std::uint32_t>(START.time_since_epoch().count()) + 1;
+    ask("p0");
+    ask("p1");
+    host.link->onPermitReply({ .number = first, .granted = true }, fleet.now);
+    cr_assert(host.decisions.empty());
+    host.link->onPermitReply({ .number = first + 1, .granted = true }, fleet.now);
+    cr_assert_eq(host.decisions.size(), 1);
+}
+
 // Guards against callers who wait until their deadline though it is known that no permit will be free for them.
 Test(limitfleet, requestsBeyondTheLimitsOfAllUpstreamsAreRefusedAtOnce)
 {
