--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -141,6 +141,7 @@
         FlowStep step, int status, std::optional<Duration> retryAfter, std::string_view reason, TimePoint now);
     void end();
     void armTimer();
+    void reportFailedAttempt(std::string_view reason, TimePoint now);
     void report(FlowEvent event, TimePoint now);
     FlowEvent event(FlowStep step, std::string_view reason = {}) const;
 
@@ -166,6 +167,8 @@
     PermitWait m_permit;
     // Upstream of the latest attempt, for the log.
     std::optional<UpstreamId> m_lastUpstream;
+    // When the head of the latest attempt's response arrived; no value if it has not.
+    std::optional<TimePoint> m_headAt;
     ResponseInfo m_responseInfo;
     http::ResponseHead m_head;
     std::string m_body;
--- a/include/fireflyhaven/entry/types/flowevent.h
+++ b/include/fireflyhaven/entry/types/flowevent.h
@@ -59,6 +59,8 @@
     // Measured time from the send to the response head.
     std::optional<Duration> observed;
     std::optional<Duration> retryAfter;
+    // Time since the head of the attempt's response arrived; no value if none has. Set for failed attempts.
+    std::optional<Duration> sinceHead;
     // Request limit of the upstream, as far as this host knows it.
     std::optional<RequestRate> limit;
     int sends = 0;
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -29,6 +29,15 @@
         || step == FlowStep::Failed || step == FlowStep::Aborted || step == FlowStep::CallerLeft;
 }
 
+// Ids of the parts of the prompt in hexadecimal digits, in prompt order.
+std::string partIds(const CallerRequest& request)
+{
+    std::string ids;
+    for (const balancing::PromptPart& it : request.promptParts)
+        ids += (ids.empty() ? "" : ",") + fmt::format("{:x}", it.id.value());
+    return ids;
+}
+
 telemetry::LogFields logFields(const FlowEvent& event)
 {
     telemetry::LogFields fields { { "request", event.request.attempt.value() } };
@@ -44,6 +53,10 @@
         fields["confidence"] = *event.confidence;
     if (event.expected)
         fields["expected_ms"] = event.expected->count();
+    if (event.step == FlowStep::AttemptFailed) {
+        fields["since_head_ms"] = event.sinceHead ? nlohmann::ordered_json(event.sinceHead->count()) : nullptr;
+        fields["prompt_parts"] = partIds(event.request);
+    }
     if (event.limit)
         fields["limit_per_second"] = event.limit->perSecond();
     if (event.retryAfter)
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -256,6 +256,7 @@
     m_body.clear();
     m_heldBytes.clear();
     m_heldAnswerEnded = false;
+    m_headAt.reset();
     ++m_sends;
     m_attemptDeadline.reset();
     if (m_route->mayRepeat()) {
@@ -304,7 +305,7 @@
 {
     if (state == http::SendState::MaybeReceived)
         return onAttemptUnusable(true, reason, now);
-    report(event(FlowStep::AttemptFailed, reason), now);
+    reportFailedAttempt(reason, now);
     --m_sends;
     ++m_connectFailures;
     m_target.exclude(m_ticket->upstream);
@@ -317,7 +318,7 @@
 
 void RequestFlow::onAttemptUnusable(bool mayHaveRun, std::string_view reason, TimePoint now)
 {
-    report(event(FlowStep::AttemptFailed, reason), now);
+    reportFailedAttempt(reason, now);
     if (m_ticket)
         m_target.exclude(m_ticket->upstream);
     const bool misdirected = !mayHaveRun && m_responseInfo.status == STATUS_MISDIRECTED;
@@ -412,7 +413,7 @@
 void RequestFlow::replaceAttempt(const std::optional<UpstreamId>& permitted, TimePoint now)
 {
     constexpr std::string_view REASON = "no progress within the timeout";
-    report(event(FlowStep::AttemptFailed, REASON), now);
+    reportFailedAttempt(REASON, now);
     recordGivenUpAttempt(now);
     m_actions.cancelAttempt();
     m_mayHaveRun = true;
@@ -473,6 +474,14 @@
     return it;
 }
 
+void RequestFlow::reportFailedAttempt(std::string_view reason, TimePoint now)
+{
+    FlowEvent failed = event(FlowStep::AttemptFailed, reason);
+    if (m_headAt)
+        failed.sinceHead = now - *m_headAt;
+    report(failed, now);
+}
+
 void RequestFlow::report(FlowEvent event, TimePoint now)
 {
     event.elapsed = now - m_receivedAt;
--- a/src/entry/internal/requestflowanswers.cpp
+++ b/src/entry/internal/requestflowanswers.cpp
@@ -35,6 +35,7 @@
         return http::HeadVerdict::Accept;
     }
     m_responseInfo = info;
+    m_headAt = now;
     // The attempt makes progress, so that its replacement is no longer wanted.
     m_permit.end();
     applyUpstreamNotices(now);
