Failing test: a part of prompts that crashes upstreams goes on to reach them

Six hosts with real sockets, eight upstreams that crash when they begin to answer a request with one part.

--- a/tests/entry/hostfixture.h
+++ b/tests/entry/hostfixture.h
@@ -46,6 +46,16 @@
     std::string limit;
     // Arrival times of the requests, oldest first.
     std::vector<TimePoint> arrivals;
+    // When a crashed upstream starts again; no value while it runs.
+    std::optional<TimePoint> restartsAt;
+    int starts = 0;
+};
+
+// A request that an upstream is processing, and will answer at the given time.
+struct PendingAnswer {
+    std::size_t upstream = 0;
+    std::shared_ptr<http::Exchange> exchange;
+    TimePoint answeredAt {};
 };
 
 struct Host {
@@ -116,6 +126,48 @@
     // Exchanges that the upstreams have not answered; filled while `holdAnswers` is set.
     std::vector<std::shared_ptr<http::Exchange>> heldExchanges;
     bool holdAnswers = false;
+    // Time that the upstreams take for each answer; the test calls `stepUpstreams` in short intervals where it is set.
+    Duration answerTime {};
+    // Upstreams crash when they begin to answer a request whose prompt has this part; none if empty.
+    std::string deadlyPart;
+    // Arrivals of such requests, and the crashes.
+    std::vector<TimePoint> deadlyArrivals;
+    std::vector<TimePoint> crashes;
+
+    // Sends the answers that are due, and restarts crashed upstreams.
+    void stepUpstreams()
+    {
+        const TimePoint now = loop.clock().now();
+        for (std::size_t n = 0; n < m_pending.size();) {
+            if (m_pending[n].answeredAt > now) {
+                ++n;
+                continue;
+            }
+            const PendingAnswer due = std::move(m_pending[n]);
+            m_pending.erase(m_pending.begin() + static_cast<std::ptrdiff_t>(n));
+            if (isDeadly(due.exchange->head())) {
+                crash(due.upstream);
+                n = 0;
+            } else {
+                answer(*due.exchange);
+            }
+        }
+        for (std::size_t n = 0; n < upstreams.size(); ++n) {
+            if (upstreams[n].restartsAt && now >= *upstreams[n].restartsAt)
+                startUpstream(n);
+        }
+    }
+    // Ends all connections of the upstream; it starts again after a second.
+    void crash(std::size_t n)
+    {
+        constexpr Duration RESTART_TIME { 1000 };
+        if (upstreams[n].restartsAt)
+            return;
+        crashes.push_back(loop.clock().now());
+        std::erase_if(m_pending, [n](const PendingAnswer& it) { return it.upstream == n; });
+        upstreams[n].server.reset();
+        upstreams[n].restartsAt = loop.clock().now() + RESTART_TIME;
+    }
 
     void answer(http::Exchange& exchange, const std::string& limit = {})
     {
@@ -134,12 +186,19 @@
     {
         FakeUpstream& it = upstreams[n];
         it.id = UpstreamId("u-" + std::to_string(n + 1));
-        it.address = loop.freeEndpoint(http::test::uniqueLoopbackIp());
-        const auto onRequest = [this, &it](std::shared_ptr<http::Exchange> exchange) {
+        if (it.starts++ == 0)
+            it.address = loop.freeEndpoint(http::test::uniqueLoopbackIp());
+        it.restartsAt.reset();
+        const auto onRequest = [this, &it, n](std::shared_ptr<http::Exchange> exchange) {
             received.push_back(exchange->head());
             it.arrivals.push_back(loop.clock().now());
+            if (isDeadly(exchange->head()))
+                deadlyArrivals.push_back(loop.clock().now());
             if (holdAnswers)
                 heldExchanges.push_back(std::move(exchange));
+            else if (answerTime > Duration(0))
+                m_pending.push_back(
+                    { .upstream = n, .exchange = std::move(exchange), .answeredAt = loop.clock().now() + answerTime });
             else
                 answer(*exchange, it.limit);
         };
@@ -155,7 +214,12 @@
             });
         put(store::Topic::Upstreams, it.id.value(),
             { { "service", "s" }, { "address", it.address.text() }, { "zone", "a" }, { "version", "v1" },
-                { "batch_slots", 8 }, { "phase", "ready" }, { "warmup_left_ms", 0 } });
+                { "batch_slots", 8 }, { "phase", "ready" }, { "warmup_left_ms", 0 }, { "born", it.starts } });
+    }
+    bool isDeadly(const http::RequestHead& head) const
+    {
+        const std::string* parts = head.headers.find("X-Prefix-Hash");
+        return !deadlyPart.empty() && parts && parts->find(deadlyPart + ":") != std::string::npos;
     }
 
     void startHost(std::size_t n)
@@ -193,6 +257,7 @@
     const platform::WireCodec m_codec;
     std::uint16_t m_peerPort = 0;
     int m_lastId = 0;
+    std::vector<PendingAnswer> m_pending;
 };
 
 inline const std::string KEY_HEADER = "Authorization: Token secret\r\n";
