--- a/include/fireflyhaven/balancing/types/upstreamrequirements.h
+++ b/include/fireflyhaven/balancing/types/upstreamrequirements.h
@@ -6,8 +6,6 @@
 
 namespace fireflyhaven::balancing {
 
-using PromptPartId = StrongNumber<struct PromptPartTag>;
-
 // A part of a prompt. Requests whose prompts begin with the same parts can share them in a prefix cache.
 struct PromptPart {
     PromptPartId id;
--- a/include/fireflyhaven/common/types/ids.h
+++ b/include/fireflyhaven/common/types/ids.h
@@ -14,6 +14,8 @@
 using HostId = StrongId<struct HostTag>;
 using RequestId = StrongId<struct RequestTag>;
 using SessionId = StrongId<struct SessionTag>;
+// Part of a prompt; the same for all requests that share it.
+using PromptPartId = StrongNumber<struct PromptPartTag>;
 using IdempotencyKey = StrongId<struct IdempotencyTag>;
 
 // Position of a record in the platform's log, counted from 1; 0 is the position before the first record.
--- a/include/fireflyhaven/fleet/limitexchange.h
+++ b/include/fireflyhaven/fleet/limitexchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fireflyhaven/fleet/exchange.h"
+#include "fireflyhaven/fleet/noticeroutes.h"
 #include "fireflyhaven/fleet/types/limitmessages.h"
 
 namespace fireflyhaven::fleet {
@@ -9,7 +9,7 @@
 class ILimitDelegate {
 public:
     virtual ~ILimitDelegate() = default;
-    virtual std::vector<UpstreamLimit> limitNotices(LimitScope scope, TimePoint now) const = 0;
+    virtual std::vector<UpstreamLimit> limitNotices(NoticeScope scope, TimePoint now) const = 0;
     virtual void onLimitNotice(const UpstreamLimit& notice, const DataCentreId& from, TimePoint now) = 0;
     // Decides on a permit that another host asks for.
     virtual PermitReply onPermitRequest(const PermitRequest& request, TimePoint now) = 0;
@@ -41,14 +41,8 @@
     std::optional<Datagram> permitRequest(const HostId& issuer, const PermitRequest& request) const;
 
 private:
-    void addNotices(
-        std::vector<Datagram>& out, LimitScope scope, const std::vector<http::Endpoint>& targets, TimePoint now) const;
-    std::vector<http::Endpoint> hostsOfOwnDataCentre(TimePoint now) const;
-    std::vector<http::Endpoint> aggregatorsOfOtherDataCentres(TimePoint now) const;
-    // Addresses of those of the hosts that are known and not this host.
-    std::vector<http::Endpoint> addressesOf(const std::vector<HostId>& hosts) const;
-
     const Exchange& m_exchange;
+    const NoticeRoutes m_routes;
     ILimitDelegate& m_delegate;
     std::uint32_t m_ticks = 0;
 };
--- a/include/fireflyhaven/fleet/types/limitmessages.h
+++ b/include/fireflyhaven/fleet/types/limitmessages.h
@@ -2,6 +2,7 @@
 
 #include "fireflyhaven/common/types/requestrate.h"
 #include "fireflyhaven/fleet/types/hostreport.h"
+#include "fireflyhaven/fleet/types/noticescope.h"
 
 #include <optional>
 
@@ -26,16 +27,6 @@
     }
 };
 
-// Which limits a host tells: how far they have come on their way from the host that learned them.
-enum class LimitScope {
-    // Limits that this host's own answers have shown.
-    Host,
-    // Those, and limits that other hosts of the data centre have reported.
-    DataCentre,
-    // All known limits.
-    Fleet,
-};
-
 // Request limits that the sender, or hosts that report to it, have learned from answers.
 struct LimitNotices {
     HostId from;
--- a/include/fireflyhaven/ratelimit/limittable.h
+++ b/include/fireflyhaven/ratelimit/limittable.h
@@ -32,18 +32,15 @@
     Ended,
 };
 
-// Where a host has learned a limit.
-enum class LimitSource { OwnAnswer, OwnDataCentre, OtherDataCentre };
-
 // Limits of the upstreams as this host knows them, from its own answers and from the notices of other hosts; the newest
 // answer counts. Does no I/O.
 class LimitTable {
 public:
     LimitChange onAnswer(const LimitAnswer& answer, TimePoint now);
-    // Takes what another host has learned. `source` is never `OwnAnswer`.
-    LimitChange onNotice(const fleet::UpstreamLimit& notice, LimitSource source, TimePoint now);
+    // Takes what another host has learned. `source` is never `ThisHost`.
+    LimitChange onNotice(const fleet::UpstreamLimit& notice, fleet::NoticeSource source, TimePoint now);
     // What to tell other hosts, within a scope that says how far it has come already.
-    std::vector<fleet::UpstreamLimit> notices(fleet::LimitScope scope, TimePoint now) const;
+    std::vector<fleet::UpstreamLimit> notices(fleet::NoticeScope scope, TimePoint now) const;
     // No value where the upstream has no limit.
     std::optional<RequestRate> limitOf(const UpstreamIncarnation& upstream) const;
     // When the newest answer that told the present state of the upstream's limit arrived; no value where nothing is
@@ -60,7 +57,7 @@
         std::int64_t startedAtMs = 0;
         // No value once the limit has ended.
         std::optional<RequestRate> limit;
-        LimitSource source = LimitSource::OwnAnswer;
+        fleet::NoticeSource source = fleet::NoticeSource::ThisHost;
         // When this host learned the present value.
         TimePoint learnedAt {};
         // When the newest answer with the present value arrived, at whichever host.
@@ -68,7 +65,6 @@
     };
 
     const Entry* find(const UpstreamIncarnation& upstream) const;
-    static bool isInScope(const Entry& entry, fleet::LimitScope scope);
 
     absl::flat_hash_map<fleet::ShortHash, Entry> m_entries;
 };
--- a/src/entry/internal/limitlink.cpp
+++ b/src/entry/internal/limitlink.cpp
@@ -105,16 +105,16 @@
         updateIssuers(now);
 }
 
-std::vector<fleet::UpstreamLimit> LimitLink::limitNotices(fleet::LimitScope scope, TimePoint now) const
+std::vector<fleet::UpstreamLimit> LimitLink::limitNotices(fleet::NoticeScope scope, TimePoint now) const
 {
     return m_context.limits.notices(scope, now);
 }
 
 void LimitLink::onLimitNotice(const fleet::UpstreamLimit& notice, const DataCentreId& from, TimePoint now)
 {
-    const ratelimit::LimitSource source = from == m_context.exchange().ownDataCentre()
-        ? ratelimit::LimitSource::OwnDataCentre
-        : ratelimit::LimitSource::OtherDataCentre;
+    const fleet::NoticeSource source = from == m_context.exchange().ownDataCentre()
+        ? fleet::NoticeSource::OwnDataCentre
+        : fleet::NoticeSource::OtherDataCentre;
     if (m_context.limits.onNotice(notice, source, now) == ratelimit::LimitChange::None)
         return;
     telemetry::LogFields fields { { "upstream", nameOf(notice.upstream) }, { "age_ms", notice.ageMs } };
--- a/src/entry/internal/limitlink.h
+++ b/src/entry/internal/limitlink.h
@@ -33,7 +33,7 @@
     void announceLimits() override;
     void tick(TimePoint now);
 
-    std::vector<fleet::UpstreamLimit> limitNotices(fleet::LimitScope scope, TimePoint now) const override;
+    std::vector<fleet::UpstreamLimit> limitNotices(fleet::NoticeScope scope, TimePoint now) const override;
     void onLimitNotice(const fleet::UpstreamLimit& notice, const DataCentreId& from, TimePoint now) override;
     fleet::PermitReply onPermitRequest(const fleet::PermitRequest& request, TimePoint now) override;
     void onPermitReply(const fleet::PermitReply& reply, TimePoint now) override;
--- a/src/ratelimit/internal/limittable.cpp
+++ b/src/ratelimit/internal/limittable.cpp
@@ -39,7 +39,7 @@
     return LimitChange::Ended;
 }
 
-LimitChange LimitTable::onNotice(const fleet::UpstreamLimit& notice, LimitSource source, TimePoint now)
+LimitChange LimitTable::onNotice(const fleet::UpstreamLimit& notice, fleet::NoticeSource source, TimePoint now)
 {
     const auto it = m_entries.find(notice.upstream);
     const bool sameIncarnation = it != m_entries.end() && it->second.startedAtMs == notice.startedAtMs;
@@ -63,25 +63,12 @@
     return notice.limit ? LimitChange::Named : LimitChange::Ended;
 }
 
-bool LimitTable::isInScope(const Entry& entry, fleet::LimitScope scope)
-{
-    switch (scope) {
-    case fleet::LimitScope::Host:
-        return entry.source == LimitSource::OwnAnswer;
-    case fleet::LimitScope::DataCentre:
-        return entry.source != LimitSource::OtherDataCentre;
-    case fleet::LimitScope::Fleet:
-        return true;
-    }
-    return false;
-}
-
-std::vector<fleet::UpstreamLimit> LimitTable::notices(fleet::LimitScope scope, TimePoint now) const
+std::vector<fleet::UpstreamLimit> LimitTable::notices(fleet::NoticeScope scope, TimePoint now) const
 {
     std::vector<fleet::UpstreamLimit> found;
     for (const auto& [upstream, it] : m_entries) {
         const bool isCurrent = it.limit || now - it.answeredAt < END_NOTICE_TIME;
-        if (isCurrent && isInScope(it, scope))
+        if (isCurrent && fleet::isInScope(it.source, scope))
             found.push_back({ .upstream = upstream,
                 .startedAtMs = it.startedAtMs,
                 .limit = it.limit,
--- a/src/ratelimit/tests/limittable_test.cpp
+++ b/src/ratelimit/tests/limittable_test.cpp
@@ -87,7 +87,7 @@
         .ageMs = static_cast<std::uint32_t>(age.count()) };
 }
 
-constexpr LimitSource SAME_DATA_CENTRE = LimitSource::OwnDataCentre;
+constexpr fleet::NoticeSource SAME_DATA_CENTRE = fleet::NoticeSource::OwnDataCentre;
 
 }
 
@@ -123,15 +123,15 @@
 // Guards against notices that go round between data centres.
 Test(limittable, noticesTravelWithinTheirScope)
 {
-    using fleet::LimitScope;
+    using fleet::NoticeScope;
     LimitTable it;
     it.onAnswer(answer({ .upstream = 1 }, LOW, START), START);
-    it.onNotice(notice({ .upstream = 2 }, LOW, Duration(0)), LimitSource::OwnDataCentre, START);
-    it.onNotice(notice({ .upstream = 3 }, LOW, Duration(0)), LimitSource::OtherDataCentre, START);
-    cr_assert_eq(it.notices(LimitScope::Host, START).size(), 1);
-    cr_assert_eq(it.notices(LimitScope::DataCentre, START).size(), 2);
-    cr_assert_eq(it.notices(LimitScope::Fleet, START).size(), 3);
-    cr_assert_eq(it.notices(LimitScope::Host, START + Duration(300)).front().ageMs, 300);
+    it.onNotice(notice({ .upstream = 2 }, LOW, Duration(0)), fleet::NoticeSource::OwnDataCentre, START);
+    it.onNotice(notice({ .upstream = 3 }, LOW, Duration(0)), fleet::NoticeSource::OtherDataCentre, START);
+    cr_assert_eq(it.notices(NoticeScope::Host, START).size(), 1);
+    cr_assert_eq(it.notices(NoticeScope::DataCentre, START).size(), 2);
+    cr_assert_eq(it.notices(NoticeScope::Fleet, START).size(), 3);
+    cr_assert_eq(it.notices(NoticeScope::Host, START + Duration(300)).front().ageMs, 300);
 }
 
 Test(limittable, endOfALimitIsToldForAWhile)
@@ -139,6 +139,6 @@
     LimitTable it;
     it.onAnswer(answer(FIRST, LOW, START), START);
     it.onAnswer(answer(FIRST, std::nullopt, START), START);
-    cr_assert_eq(it.notices(fleet::LimitScope::Host, START + Duration(5'000)).size(), 1);
-    cr_assert_eq(it.notices(fleet::LimitScope::Host, START + Duration(20'000)).size(), 0);
+    cr_assert_eq(it.notices(fleet::NoticeScope::Host, START + Duration(5'000)).size(), 1);
+    cr_assert_eq(it.notices(fleet::NoticeScope::Host, START + Duration(20'000)).size(), 0);
 }
