Refuse requests with a part that crashes upstreams, by evidence of all hosts

Cause: each request is judged by itself. Nothing remembers what an upstream worked on when it crashed, so that a deadly request is sent on like any other lost one, and new ones are sent as if nothing were known. Class: evidence that no host has by itself, as with request limits and exposure. Change: module poison.

--- a/include/fireflyhaven/entry/flowcontext.h
+++ b/include/fireflyhaven/entry/flowcontext.h
@@ -5,6 +5,7 @@
 #include "fireflyhaven/dispatch/retrybudgets.h"
 #include "fireflyhaven/entry/ilimitlink.h"
 #include "fireflyhaven/entry/types/flowevent.h"
+#include "fireflyhaven/poison/poisonguard.h"
 #include "fireflyhaven/ratelimit/limittable.h"
 #include "fireflyhaven/rollout/rolloutcontroller.h"
 #include "fireflyhaven/routing/escalationpolicy.h"
@@ -62,6 +63,7 @@
     admission::ServiceQueues& serviceQueues;
     ratelimit::LimitTable& limits;
     ILimitLink& limitLink;
+    poison::PoisonGuard& poisonGuard;
     const IHostView& host;
     IFlowObserver& observer;
     FlowOptions options;
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -93,6 +93,8 @@
     void dispatch(TimePoint now);
     // Fails the request and returns false if its key is no longer valid.
     bool keyIsValid(TimePoint now);
+    // Fails the request and returns false if its key is no longer valid, or a part of its prompt crashes upstreams.
+    bool maySend(TimePoint now);
     // Sends the request or asks for the permit to; returns false if neither is possible.
     bool trySend(TimePoint now);
     // Sends the request to the upstream that a permit was granted for, or to one without a limit; returns false if none
@@ -149,6 +151,7 @@
     IFlowActions& m_actions;
     const CallerRequest m_request;
     const admission::TicketId m_waitingTicket;
+    const std::vector<PromptPartId> m_promptParts;
     RequestTarget m_target;
     Stage m_stage = Stage::Received;
     std::shared_ptr<const catalog::Route> m_route;
@@ -165,6 +168,7 @@
     std::optional<balancing::Ticket> m_ticket;
     AttemptEvidence m_evidence;
     PermitWait m_permit;
+    std::optional<PromptPartId> m_refusedPart;
     // Upstream of the latest attempt, for the log.
     std::optional<UpstreamId> m_lastUpstream;
     // When the head of the latest attempt's response arrived; no value if it has not.
--- a/include/fireflyhaven/entry/types/flowevent.h
+++ b/include/fireflyhaven/entry/types/flowevent.h
@@ -63,6 +63,8 @@
     std::optional<Duration> sinceHead;
     // Request limit of the upstream, as far as this host knows it.
     std::optional<RequestRate> limit;
+    // Part of the prompt for which the request is refused, because it crashes upstreams.
+    std::optional<PromptPartId> refusedPart;
     int sends = 0;
     catalog::ConfigurationVersion configuration;
     // Time since this host last confirmed the operator's records; negative if it never did.
--- /dev/null
+++ b/include/fireflyhaven/poison/crashevidence.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "fireflyhaven/common/clock.h"
+#include "fireflyhaven/fleet/types/noticescope.h"
+#include "fireflyhaven/fleet/types/poisonmessages.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <optional>
+#include <vector>
+
+namespace fireflyhaven::poison {
+
+// A part that the evidence convicts, and the crashes that do.
+struct Culprit {
+    PromptPartId part;
+    TimePoint lastCrashAt {};
+    std::vector<fleet::CrashWitness> crashes;
+};
+
+// Crashes that convict a part if `candidates` parts are implicated in each of them and none of these is cleared.
+int requiredCrashes(std::size_t candidates);
+
+// The crashes of upstreams that this host and others have seen, and the parts that upstreams have answered without a
+// crash; finds the part that explains the crashes. Does no I/O.
+class CrashEvidence {
+public:
+    // Returns false if the crash is known already, or withdrawn.
+    bool onCrash(const fleet::CrashReport& report, fleet::NoticeSource source, TimePoint now);
+    // An incarnation of an upstream has answered a request that was sent then. Returns true if that withdraws a crash.
+    bool onSignOfLife(const fleet::SignOfLife& sign, fleet::NoticeSource source, TimePoint now);
+    // An upstream has begun to answer a request with the part then, and lived on. Returns true if the part is a suspect
+    // that it clears.
+    bool onAnswered(PromptPartId part, TimePoint answeredAt, fleet::NoticeSource source, TimePoint now);
+
+    // The part that is convicted by the crashes; no value if none is. `wasConvicted` tells parts for which one crash is
+    // enough.
+    std::optional<Culprit> findCulprit(const absl::flat_hash_set<PromptPartId>& wasConvicted) const;
+    // Drops the crashes that a part explains, so that they count against no other part.
+    void removeExplainedBy(PromptPartId part, TimePoint now);
+    // The crash of this report is explained by a convicted part.
+    void onExplained(const fleet::CrashReport& report, TimePoint now);
+    // Tells the other hosts that the part was answered.
+    void announceAnswered(PromptPartId part, TimePoint now);
+    // When an upstream last answered the part; no value if that is not known.
+    std::optional<TimePoint> answeredAt(PromptPartId part) const;
+
+    // Adds what others within the scope are to know.
+    void addNotices(fleet::PoisonNotices& notices, fleet::NoticeScope scope, TimePoint now) const;
+    void expire(TimePoint now);
+
+    std::size_t crashes() const { return m_crashes.size(); }
+    std::size_t answeredParts() const { return m_answered.size(); }
+
+private:
+    struct Crash {
+        HostId reporter;
+        fleet::ShortHash upstream = 0;
+        std::int64_t startedAtMs = 0;
+        TimePoint at {};
+        std::vector<fleet::SuspectPart> parts;
+        fleet::NoticeSource source = fleet::NoticeSource::ThisHost;
+        TimePoint learnedAt {};
+    };
+    struct Answered {
+        TimePoint at {};
+        fleet::NoticeSource source = fleet::NoticeSource::ThisHost;
+        // When other hosts are to be told, because the part became a suspect or was cleared; no value if they are not.
+        std::optional<TimePoint> newsAt;
+    };
+    struct UpstreamSign {
+        std::int64_t startedAtMs = 0;
+        TimePoint sentAt {};
+        fleet::NoticeSource source = fleet::NoticeSource::ThisHost;
+        std::optional<TimePoint> newsAt;
+    };
+    // Crashes that count as one, because they share an upstream or a moment.
+    struct CrashGroup {
+        TimePoint firstAt {};
+        TimePoint lastAt {};
+        std::vector<fleet::CrashWitness> upstreams;
+        // Parts that are not cleared since, with their positions.
+        absl::flat_hash_map<PromptPartId, std::uint8_t> candidates;
+    };
+    struct Suspicion {
+        PromptPartId part;
+        std::uint8_t position = 0;
+        int crashes = 0;
+        int requiredCrashes = 0;
+        bool answeredBefore = false;
+    };
+
+    std::vector<CrashGroup> groups() const;
+    // Judges one part by the groups; no value if it is not convicted.
+    std::optional<Suspicion> judge(PromptPartId part, const std::vector<CrashGroup>& groups, bool wasConvicted) const;
+    bool isWithdrawn(const fleet::CrashReport& report, TimePoint at) const;
+    void limitAnswered();
+
+    // An upstream and the start of its incarnation.
+    using IncarnationKey = std::pair<fleet::ShortHash, std::int64_t>;
+
+    std::vector<Crash> m_crashes;
+    // Incarnations whose crash a convicted part explains, and since when that is known.
+    absl::flat_hash_map<IncarnationKey, TimePoint> m_explained;
+    absl::flat_hash_map<PromptPartId, Answered> m_answered;
+    absl::flat_hash_map<fleet::ShortHash, UpstreamSign> m_signs;
+};
+
+}
--- /dev/null
+++ b/include/fireflyhaven/poison/poisonguard.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "fireflyhaven/fleet/poisonexchange.h"
+#include "fireflyhaven/poison/attemptwatch.h"
+#include "fireflyhaven/poison/crashevidence.h"
+#include "fireflyhaven/poison/partverdicts.h"
+
+namespace fireflyhaven::poison {
+
+// What has changed in the verdicts of this host.
+enum class VerdictChange {
+    Convicted,
+    // Another host has convicted the part.
+    Learned,
+    // An upstream has answered the part and lived on.
+    Withdrawn,
+    // No request with the part has come for the lifetime of a verdict.
+    Ended,
+};
+
+struct VerdictEvent {
+    VerdictChange change = VerdictChange::Convicted;
+    // Only the part is set where the verdict is over.
+    Verdict verdict;
+};
+
+struct Refusal {
+    PromptPartId part;
+    // Time after which the verdict ends if no further request comes.
+    Duration retryAfter {};
+};
+
+// Refuses requests with parts that crash upstreams: gathers this host's evidence, exchanges it with the other hosts,
+// and applies the verdicts of all. Does no I/O.
+class PoisonGuard final : public fleet::IPoisonDelegate {
+public:
+    explicit PoisonGuard(HostId self)
+        : m_self(std::move(self))
+    {
+    }
+
+    // The refusal of a request with these parts, of which the last is its own; no value if it may be sent.
+    std::optional<Refusal> refusalOf(const std::vector<PromptPartId>& parts, TimePoint now);
+
+    void onSent(AttemptNumber number, const ratelimit::UpstreamIncarnation& upstream,
+        const std::vector<PromptPartId>& parts, TimePoint now);
+    void onAnswerBegun(AttemptNumber number, TimePoint now);
+    void onEnded(AttemptNumber number, AttemptEnd end) { m_watch.onEnded(number, end); }
+    void onConnectionLost(AttemptNumber number, const ratelimit::UpstreamIncarnation& upstream, TimePoint now);
+
+    fleet::PoisonNotices poisonNotices(fleet::NoticeScope scope, TimePoint now) const override;
+    void onPoisonNotices(const fleet::PoisonNotices& notices, fleet::NoticeSource source, TimePoint now) override;
+
+    // Judges the evidence, and forgets what is too old.
+    void tick(TimePoint now);
+    // Whether the other hosts should be told before the next report interval; resets it.
+    bool takeNews() { return std::exchange(m_hasNews, false); }
+    std::vector<VerdictEvent> takeEvents() { return std::exchange(m_events, {}); }
+    std::vector<Verdict> verdicts() const { return m_verdicts.all(); }
+    std::size_t knownCrashes() const { return m_evidence.crashes(); }
+
+private:
+    void onAnswered(PromptPartId part, TimePoint answeredAt, fleet::NoticeSource source, TimePoint now);
+    void onCrash(const fleet::CrashReport& report, fleet::NoticeSource source, TimePoint now);
+    // Reports the parts of this host's attempts that may have caused a crash.
+    void reportCrash(const ratelimit::UpstreamIncarnation& upstream, const std::vector<WatchedAttempt>& suspects,
+        TimePoint crashAt, TimePoint now);
+    void onVerdict(const Verdict& verdict, VerdictChange change, TimePoint now);
+    // Convicts what the evidence convicts since it last changed.
+    void judge(TimePoint now);
+    void onEvidence();
+    bool isExplained(const fleet::CrashReport& report) const;
+
+    const HostId m_self;
+    AttemptWatch m_watch;
+    CrashEvidence m_evidence;
+    PartVerdicts m_verdicts;
+    bool m_hasNews = false;
+    bool m_evidenceChanged = false;
+    std::vector<VerdictEvent> m_events;
+};
+
+}
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -1,6 +1,7 @@
 #include "decisionlog.h"
 
 #include "fireflyhaven/telemetry/logevent.h"
+#include "lognames.h"
 
 #include <cstdlib>
 
@@ -29,12 +30,12 @@
         || step == FlowStep::Failed || step == FlowStep::Aborted || step == FlowStep::CallerLeft;
 }
 
-// Ids of the parts of the prompt in hexadecimal digits, in prompt order.
+// Ids of the parts of the prompt, in prompt order.
 std::string partIds(const CallerRequest& request)
 {
     std::string ids;
     for (const balancing::PromptPart& it : request.promptParts)
-        ids += (ids.empty() ? "" : ",") + fmt::format("{:x}", it.id.value());
+        ids += (ids.empty() ? "" : ",") + partId(it.id);
     return ids;
 }
 
@@ -57,6 +58,8 @@
         fields["since_head_ms"] = event.sinceHead ? nlohmann::ordered_json(event.sinceHead->count()) : nullptr;
         fields["prompt_parts"] = partIds(event.request);
     }
+    if (event.refusedPart)
+        fields["refused_part"] = partId(*event.refusedPart);
     if (event.limit)
         fields["limit_per_second"] = event.limit->perSecond();
     if (event.retryAfter)
@@ -98,6 +101,8 @@
         m_metrics.observe("first_token", event.elapsed, { { "route", route } });
         m_metrics.observe("first_token_prediction_error", std::chrono::abs(*event.observed - *event.expected));
     }
+    if (event.step == FlowStep::Refused && event.refusedPart)
+        m_metrics.count("requests_refused_for_prompt_part");
     if (isTerminal(event.step)) {
         m_metrics.count("requests", 1, { { "route", route }, { "outcome", flowStepName(event.step) } });
         m_metrics.observe("request_duration", event.elapsed, { { "route", route } });
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -9,6 +9,7 @@
 #include "fireflyhaven/http/types/status.h"
 #include "fleetlink.h"
 #include "limitlink.h"
+#include "poisonlink.h"
 #include "requestdispatcher.h"
 #include "directoryhostselector.h"
 #include "statuspages.h"
@@ -86,7 +87,12 @@
               .send = [this](const std::vector<fleet::Datagram>& datagrams) { m_fleetLink.send(datagrams); },
               .deliver = [this](admission::TicketId request,
                              const ratelimit::PermitDecision& decision) { deliverPermit(request, decision); } })
-        , m_fleetLink(loop, clock, m_settings, store, *this, m_limitLink)
+        , m_poisonGuard(m_settings.host)
+        , m_fleetLink(loop, clock, m_settings, store, *this, m_limitLink, m_poisonGuard)
+        , m_poisonLink({ .catalog = m_catalog,
+              .guard = m_poisonGuard,
+              .metrics = m_metrics,
+              .sendNotices = [this] { m_fleetLink.sendPoisonNotices(); } })
         , m_hostSelector(m_settings.frontend)
         , m_statusWriter({ .host = m_settings.host,
               .clock = clock,
@@ -104,6 +110,7 @@
             .serviceQueues = m_serviceQueues,
             .limits = m_limits,
             .limitLink = m_limitLink,
+            .poisonGuard = m_poisonGuard,
             .host = *this,
             .observer = m_decisionLog }
         , m_driverContext { .loop = loop,
@@ -119,6 +126,7 @@
               .rollouts = m_rollouts,
               .serviceQueues = m_serviceQueues,
               .limits = m_limits,
+              .poisonGuard = m_poisonGuard,
               .catalogSync = m_catalogSync,
               .fleetLink = m_fleetLink,
               .requestDispatcher = m_requestDispatcher,
@@ -342,6 +350,7 @@
         m_balancer.expire(now);
         m_limits.expire(now);
         m_limitLink.tick(now);
+        m_poisonLink.tick(now);
         updateSharingHosts(now);
         m_statusWriter.tick(isStatusWriter(now), now);
         if (now - m_stateLoggedAt >= STATE_LOG_INTERVAL)
@@ -442,7 +451,9 @@
     DecisionLog m_decisionLog;
     CatalogSync m_catalogSync;
     LimitLink m_limitLink;
+    poison::PoisonGuard m_poisonGuard;
     FleetLink m_fleetLink;
+    PoisonLink m_poisonLink;
     DirectoryHostSelector m_hostSelector;
     RolloutStatusWriter m_statusWriter;
     FlowContext m_flowContext;
--- a/src/entry/internal/fleetlink.cpp
+++ b/src/entry/internal/fleetlink.cpp
@@ -52,12 +52,14 @@
 }
 
 FleetLink::FleetLink(asio::io_context& loop, const IClock& clock, const EntrySettings& settings,
-    store::IRecordStore& store, fleet::IReportDelegate& reportDelegate, fleet::ILimitDelegate& limitDelegate)
+    store::IRecordStore& store, fleet::IReportDelegate& reportDelegate, fleet::ILimitDelegate& limitDelegate,
+    fleet::IPoisonDelegate& poisonDelegate)
     : m_clock(clock)
     , m_settings(settings)
     , m_store(store)
     , m_exchange(exchangeOptions(settings, clock), reportDelegate)
     , m_limitExchange(m_exchange, limitDelegate)
+    , m_poisonExchange(m_exchange, poisonDelegate)
     , m_socket(loop)
     , m_tickTimer(loop)
     , m_storeTimer(loop)
@@ -117,10 +119,9 @@
     send(m_exchange.onDatagram(bytes, from, m_clock.now(), isOther));
     if (!isOther)
         return;
-    const auto replies = m_limitExchange.onDatagram(bytes, from, m_clock.now());
-    if (replies)
+    if (const auto replies = m_limitExchange.onDatagram(bytes, from, m_clock.now()))
         send(*replies);
-    else
+    else if (!m_poisonExchange.onDatagram(bytes, m_clock.now()))
         telemetry::logEvent(spdlog::level::warn, "peer_report_unreadable", { { "from", from.ip } });
 }
 
@@ -141,6 +142,7 @@
     const TimePoint now = m_clock.now();
     send(m_exchange.tick(now));
     send(m_limitExchange.tick(now));
+    send(m_poisonExchange.tick(now));
     logChanges(now);
     runAfter(m_tickTimer, REPORT_INTERVAL, [this] { tick(); });
 }
@@ -166,6 +168,8 @@
             spdlog::level::info, "exchange_layout", { { "layered", layered }, { "aggregator", aggregator } });
 }
 
+void FleetLink::sendPoisonNotices() { send(m_poisonExchange.sendNotices(m_clock.now())); }
+
 void FleetLink::reportNow() { send(m_exchange.reportNow(m_clock.now())); }
 
 // A starting host may need the record of another one to find the exchange. With few hosts all of them are registered;
--- a/src/entry/internal/fleetlink.h
+++ b/src/entry/internal/fleetlink.h
@@ -3,6 +3,7 @@
 #include "fireflyhaven/common/result.h"
 #include "fireflyhaven/entry/types/settings.h"
 #include "fireflyhaven/fleet/limitexchange.h"
+#include "fireflyhaven/fleet/poisonexchange.h"
 #include "fireflyhaven/store/recordstore.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -17,7 +18,8 @@
 class FleetLink {
 public:
     FleetLink(boost::asio::io_context& loop, const IClock& clock, const EntrySettings& settings,
-        store::IRecordStore& store, fleet::IReportDelegate& reportDelegate, fleet::ILimitDelegate& limitDelegate);
+        store::IRecordStore& store, fleet::IReportDelegate& reportDelegate, fleet::ILimitDelegate& limitDelegate,
+        fleet::IPoisonDelegate& poisonDelegate);
     FleetLink(const FleetLink&) = delete;
     FleetLink& operator=(const FleetLink&) = delete;
     ~FleetLink();
@@ -25,6 +27,8 @@
     Result<void> open();
     // Sends a report outside the regular interval, for changes that should not be delayed.
     void reportNow();
+    // The same for the evidence against parts of prompts.
+    void sendPoisonNotices();
     void send(const std::vector<fleet::Datagram>& datagrams);
     const fleet::HostTable& hosts() const { return m_exchange.hosts(); }
     const fleet::Exchange& exchange() const { return m_exchange; }
@@ -48,6 +52,7 @@
     store::IRecordStore& m_store;
     fleet::Exchange m_exchange;
     fleet::LimitExchange m_limitExchange;
+    fleet::PoisonExchange m_poisonExchange;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_storeTimer;
--- a/src/entry/internal/limitlink.cpp
+++ b/src/entry/internal/limitlink.cpp
@@ -1,6 +1,7 @@
 #include "limitlink.h"
 
 #include "fireflyhaven/telemetry/logevent.h"
+#include "lognames.h"
 
 #include <algorithm>
 
@@ -117,7 +118,8 @@
         : fleet::NoticeSource::OtherDataCentre;
     if (m_context.limits.onNotice(notice, source, now) == ratelimit::LimitChange::None)
         return;
-    telemetry::LogFields fields { { "upstream", nameOf(notice.upstream) }, { "age_ms", notice.ageMs } };
+    telemetry::LogFields fields { { "upstream", upstreamName(m_context.catalog, notice.upstream) },
+        { "age_ms", notice.ageMs } };
     if (notice.limit)
         fields["limit_per_second"] = notice.limit->perSecond();
     telemetry::logEvent(
@@ -155,13 +157,4 @@
     deliver(request, decision);
 }
 
-std::string LimitLink::nameOf(fleet::ShortHash upstream) const
-{
-    for (const auto& [id, it] : m_context.catalog.upstreams()) {
-        if (fleet::shortHashOf(id) == upstream)
-            return id.value();
-    }
-    return "hash " + std::to_string(upstream);
-}
-
 }
--- a/src/entry/internal/limitlink.h
+++ b/src/entry/internal/limitlink.h
@@ -51,8 +51,6 @@
     bool isIssuerOf(fleet::ShortHash upstream, TimePoint now);
     // Takes over which hosts issue permits.
     void updateIssuers(TimePoint now);
-    // Writes the upstream's id rather than its hash to the log, if the upstream is known.
-    std::string nameOf(fleet::ShortHash upstream) const;
 
     const Context m_context;
     ratelimit::PermitIssuer m_issuer;
--- /dev/null
+++ b/src/entry/internal/poisonlink.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "fireflyhaven/catalog/catalog.h"
+#include "fireflyhaven/poison/poisonguard.h"
+#include "fireflyhaven/telemetry/metrics.h"
+
+#include <functional>
+
+namespace fireflyhaven::entry {
+
+// Runs the guard against poison parts in short intervals: sends its news to the other hosts, and writes the changes of
+// its verdicts to the log and the metrics.
+class PoisonLink {
+public:
+    struct Context {
+        const catalog::Catalog& catalog;
+        poison::PoisonGuard& guard;
+        telemetry::Metrics& metrics;
+        // Sends the guard's notices to the other hosts.
+        std::function<void()> sendNotices;
+    };
+    explicit PoisonLink(Context context)
+        : m_context(std::move(context))
+    {
+    }
+
+    void tick(TimePoint now);
+
+private:
+    void log(const poison::VerdictEvent& event) const;
+
+    const Context m_context;
+};
+
+// The crashes that convicted a part, each with a host that lost a request there.
+nlohmann::ordered_json crashList(const catalog::Catalog& catalog, const poison::Verdict& verdict);
+
+}
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -22,6 +22,16 @@
 // Failed connections to upstreams after which a request is failed.
 constexpr int MAX_CONNECT_FAILURES = 4;
 
+std::vector<PromptPartId> promptPartIds(const CallerRequest& request)
+{
+    std::vector<PromptPartId> ids;
+    for (const balancing::PromptPart& it : request.promptParts)
+        ids.push_back(it.id);
+    return ids;
+}
+
+poison::AttemptNumber attemptNumber(const balancing::Ticket& ticket) { return poison::AttemptNumber(ticket.number); }
+
 }
 
 RequestFlow::RequestFlow(FlowContext& context, IFlowActions& actions, CallerRequest request)
@@ -29,6 +39,7 @@
     , m_actions(actions)
     , m_request(std::move(request))
     , m_waitingTicket(context.nextTicket++)
+    , m_promptParts(promptPartIds(m_request))
     , m_target(context, m_request)
     , m_evidence(context, m_request, m_target)
     , m_permit(context, m_waitingTicket)
@@ -110,10 +121,23 @@
     return false;
 }
 
-bool RequestFlow::trySend(TimePoint now)
+// Other hosts may have found out while the request waited, or while an attempt was open.
+bool RequestFlow::maySend(TimePoint now)
 {
     if (!keyIsValid(now))
         return false;
+    const auto refusal = m_context.poisonGuard.refusalOf(m_promptParts, now);
+    if (!refusal)
+        return true;
+    m_refusedPart = refusal->part;
+    failRequest("a part of the prompt crashes upstreams", now, refusal->retryAfter);
+    return false;
+}
+
+bool RequestFlow::trySend(TimePoint now)
+{
+    if (!maySend(now))
+        return false;
     const balancing::UpstreamRequirements requirements = m_target.requirements(now);
     if (m_permit.isRefusedRepeatedly() && sendNow(requirements, std::nullopt, now))
         return true;
@@ -140,7 +164,7 @@
     m_stage = Stage::Received;
     if (!permitted)
         return dispatch(now);
-    if (keyIsValid(now) && !sendNow(m_target.requirements(now), permitted, now))
+    if (maySend(now) && !sendNow(m_target.requirements(now), permitted, now))
         enqueueOrRefuse(now);
 }
 
@@ -267,6 +291,8 @@
             = now + std::max(minTimeout, m_context.options.timeoutFactor * m_ticket->expectedTimeToFirstToken());
     }
     m_evidence.onSent(*target, now);
+    m_context.poisonGuard.onSent(attemptNumber(*m_ticket),
+        ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs), m_promptParts, now);
     FlowEvent sent = event(FlowStep::Sent);
     sent.expected = m_ticket->expectedTimeToFirstToken();
     sent.limit = m_context.limits.limitOf(ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs));
@@ -297,14 +323,20 @@
     if (!m_ticket)
         return;
     m_context.balancer.onEnded(*m_ticket, outcome, now);
+    m_context.poisonGuard.onEnded(attemptNumber(*m_ticket),
+        outcome == SendOutcome::Succeeded ? poison::AttemptEnd::Answered : poison::AttemptEnd::Abandoned);
     m_evidence.recordSessionUse(now);
     m_ticket.reset();
 }
 
 void RequestFlow::onAttemptFailed(http::SendState state, const std::string& reason, TimePoint now)
 {
-    if (state == http::SendState::MaybeReceived)
+    if (state == http::SendState::MaybeReceived) {
+        if (m_promptParts.size() > 1)
+            m_context.poisonGuard.onConnectionLost(attemptNumber(*m_ticket),
+                ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs), now);
         return onAttemptUnusable(true, reason, now);
+    }
     reportFailedAttempt(reason, now);
     --m_sends;
     ++m_connectFailures;
@@ -469,6 +501,7 @@
 {
     FlowEvent it { .step = step, .request = m_request, .route = m_route.get(), .reason = reason, .sends = m_sends };
     it.upstream = m_lastUpstream;
+    it.refusedPart = m_refusedPart;
     if (m_target.selectsModel())
         it.model = m_target.modelName();
     return it;
--- a/src/entry/internal/requestflowanswers.cpp
+++ b/src/entry/internal/requestflowanswers.cpp
@@ -36,6 +36,8 @@
     }
     m_responseInfo = info;
     m_headAt = now;
+    if (!info.notExecuted && !wasRefusedUnexecuted(info))
+        m_context.poisonGuard.onAnswerBegun(poison::AttemptNumber(m_ticket->number), now);
     // The attempt makes progress, so that its replacement is no longer wanted.
     m_permit.end();
     applyUpstreamNotices(now);
@@ -140,12 +142,13 @@
     escalated.expected = escalation.expected;
     report(escalated, now);
     m_actions.cancelAttempt();
+    m_context.poisonGuard.onEnded(poison::AttemptNumber(m_ticket->number), poison::AttemptEnd::Abandoned);
     closeAttempt(SendOutcome::Succeeded, now);
     m_heldBytes.clear();
     m_heldAnswerEnded = false;
     m_target.setModelIndex(escalation.model);
     m_stage = Stage::Received;
-    if (keyIsValid(now) && !sendNow(m_target.requirements(now), permitted, now))
+    if (maySend(now) && !sendNow(m_target.requirements(now), permitted, now))
         dispatch(now);
     armTimer();
 }
--- a/src/entry/internal/statuspages.cpp
+++ b/src/entry/internal/statuspages.cpp
@@ -1,6 +1,8 @@
 #include "statuspages.h"
 
 #include "fireflyhaven/http/types/status.h"
+#include "lognames.h"
+#include "poisonlink.h"
 
 namespace fireflyhaven::entry {
 
@@ -48,6 +50,8 @@
     metrics.set("upstreams", static_cast<double>(m_context.catalog.upstreams().size()));
     metrics.set("upstreams_avoided", avoided);
     metrics.set("upstreams_limited", static_cast<double>(m_context.limits.limitedUpstreams()));
+    metrics.set("prompt_parts_refused", static_cast<double>(m_context.poisonGuard.verdicts().size()));
+    metrics.set("upstream_crashes_known", static_cast<double>(m_context.poisonGuard.knownCrashes()));
     metrics.set("hosts_live", static_cast<double>(m_context.fleetLink.hosts().live(now).size() + 1));
     metrics.set("configuration_version", static_cast<double>(m_context.catalog.version().value()));
     if (const auto confirmed = m_context.catalogSync.operatorConfirmedAt())
@@ -80,6 +84,10 @@
     auto& evacuated = document["evacuated"] = nlohmann::ordered_json::array();
     for (const DataCentreId& it : m_context.catalog.evacuated())
         evacuated.push_back(it.value());
+    auto& refusedParts = document["refused_parts"] = nlohmann::ordered_json::array();
+    for (const poison::Verdict& it : m_context.poisonGuard.verdicts())
+        refusedParts.push_back({ { "part", partId(it.part) }, { "convicted_by", it.convictedBy.value() },
+            { "idle_ms", (now - it.lastSeenAt).count() }, { "crashes", crashList(m_context.catalog, it) } });
     auto& rollouts = document["rollouts"] = nlohmann::ordered_json::array();
     for (const auto& [service, it] : m_context.catalog.rollouts()) {
         nlohmann::ordered_json row { { "service", service.value() }, { "version", it.order.target.value() } };
--- a/src/entry/internal/statuspages.h
+++ b/src/entry/internal/statuspages.h
@@ -4,6 +4,7 @@
 #include "fireflyhaven/admission/servicequeues.h"
 #include "fireflyhaven/balancing/balancer.h"
 #include "fireflyhaven/http/exchange.h"
+#include "fireflyhaven/poison/poisonguard.h"
 #include "fireflyhaven/rollout/rolloutcontroller.h"
 #include "fireflyhaven/telemetry/metrics.h"
 #include "fleetlink.h"
@@ -22,6 +23,7 @@
         const rollout::RolloutController& rollouts;
         const admission::ServiceQueues& serviceQueues;
         const ratelimit::LimitTable& limits;
+        const poison::PoisonGuard& poisonGuard;
         const CatalogSync& catalogSync;
         const FleetLink& fleetLink;
         const RequestDispatcher& requestDispatcher;
--- a/src/entry/tests/flowfixture.h
+++ b/src/entry/tests/flowfixture.h
@@ -173,6 +173,7 @@
     fleet::PeerLoad peers;
     ratelimit::LimitTable limits;
     FakeLimitLink limitLink;
+    poison::PoisonGuard poisonGuard { HostId("host") };
     balancing::Balancer balancer { catalog, peers, limits, { .ownDataCentre = DataCentreId("dc"), .seed = 1 } };
     routing::EscalationPolicy escalationPolicy;
     rollout::RolloutController rollouts;
@@ -188,6 +189,7 @@
         .serviceQueues = serviceQueues,
         .limits = limits,
         .limitLink = limitLink,
+        .poisonGuard = poisonGuard,
         .host = host,
         .observer = steps };
 };
--- /dev/null
+++ b/src/poison/internal/poisonguard.cpp
@@ -0,0 +1,172 @@
+#include "fireflyhaven/poison/poisonguard.h"
+
+#include <algorithm>
+
+namespace fireflyhaven::poison {
+
+using fleet::NoticeSource;
+
+namespace {
+
+// The parts that other requests may share: all but the last.
+std::vector<fleet::SuspectPart> sharedParts(const std::vector<PromptPartId>& parts)
+{
+    std::vector<fleet::SuspectPart> shared;
+    for (std::size_t n = 0; n + 1 < parts.size(); ++n)
+        shared.push_back(
+            { .part = parts[n], .position = static_cast<std::uint8_t>(std::min<std::size_t>(n, UINT8_MAX)) });
+    return shared;
+}
+
+}
+
+std::optional<Refusal> PoisonGuard::refusalOf(const std::vector<PromptPartId>& parts, TimePoint now)
+{
+    if (m_verdicts.empty() || parts.empty())
+        return std::nullopt;
+    const Verdict* verdict = m_verdicts.find({ parts.begin(), parts.end() - 1 }, now);
+    if (!verdict)
+        return std::nullopt;
+    return Refusal { .part = verdict->part, .retryAfter = PartVerdicts::remaining(*verdict, now) };
+}
+
+void PoisonGuard::onSent(AttemptNumber number, const ratelimit::UpstreamIncarnation& upstream,
+    const std::vector<PromptPartId>& parts, TimePoint now)
+{
+    m_watch.onSent(number, { .upstream = upstream, .sentAt = now, .parts = sharedParts(parts) });
+}
+
+void PoisonGuard::onAnswerBegun(AttemptNumber number, TimePoint now)
+{
+    const WatchedAttempt* attempt = m_watch.onAnswerBegun(number, now);
+    if (!attempt)
+        return;
+    const fleet::SignOfLife sign { .upstream = attempt->upstream.upstream,
+        .startedAtMs = attempt->upstream.startedAtMs,
+        .sentAgeMs = static_cast<std::uint32_t>((now - attempt->sentAt).count()) };
+    if (m_evidence.onSignOfLife(sign, NoticeSource::ThisHost, now))
+        onEvidence();
+}
+
+// The report has no parts where this host has no suspect: another host may have one there.
+void PoisonGuard::onConnectionLost(AttemptNumber number, const ratelimit::UpstreamIncarnation& upstream, TimePoint now)
+{
+    std::vector<WatchedAttempt> suspects = m_watch.takeBegunBefore(upstream, now);
+    if (const auto lost = m_watch.onConnectionLost(number, now))
+        suspects.push_back(*lost);
+    reportCrash(upstream, suspects, now, now);
+}
+
+void PoisonGuard::reportCrash(const ratelimit::UpstreamIncarnation& upstream,
+    const std::vector<WatchedAttempt>& suspects, TimePoint crashAt, TimePoint now)
+{
+    fleet::CrashReport report { .reporter = m_self,
+        .upstream = upstream.upstream,
+        .startedAtMs = upstream.startedAtMs,
+        .ageMs = static_cast<std::uint32_t>((now - crashAt).count()) };
+    for (const WatchedAttempt& it : suspects)
+        report.parts.items.insert(report.parts.items.end(), it.parts.begin(), it.parts.end());
+    onCrash(report, NoticeSource::ThisHost, now);
+}
+
+bool PoisonGuard::isExplained(const fleet::CrashReport& report) const
+{
+    return std::any_of(report.parts.items.begin(), report.parts.items.end(),
+        [this](const fleet::SuspectPart& it) { return m_verdicts.contains(it.part); });
+}
+
+void PoisonGuard::onCrash(const fleet::CrashReport& report, NoticeSource source, TimePoint now)
+{
+    if (isExplained(report))
+        return m_evidence.onExplained(report, now);
+    if (m_evidence.onCrash(report, source, now))
+        onEvidence();
+}
+
+void PoisonGuard::onAnswered(PromptPartId part, TimePoint answeredAt, NoticeSource source, TimePoint now)
+{
+    if (m_evidence.onAnswered(part, answeredAt, source, now))
+        onEvidence();
+    if (!m_verdicts.onAnswered(part, answeredAt))
+        return;
+    m_evidence.announceAnswered(part, now);
+    m_hasNews = true;
+    m_events.push_back({ .change = VerdictChange::Withdrawn, .verdict = { .part = part } });
+}
+
+void PoisonGuard::onEvidence()
+{
+    m_hasNews = true;
+    m_evidenceChanged = true;
+}
+
+void PoisonGuard::onVerdict(const Verdict& verdict, VerdictChange change, TimePoint now)
+{
+    m_evidence.removeExplainedBy(verdict.part, now);
+    if (!m_verdicts.add(verdict))
+        return;
+    m_hasNews = true;
+    m_events.push_back({ .change = change, .verdict = verdict });
+}
+
+fleet::PoisonNotices PoisonGuard::poisonNotices(fleet::NoticeScope scope, TimePoint now) const
+{
+    fleet::PoisonNotices notices;
+    m_evidence.addNotices(notices, scope, now);
+    // In every scope, so that a restarted host learns them from whichever host it meets.
+    m_verdicts.addNotices(notices, now);
+    return notices;
+}
+
+void PoisonGuard::onPoisonNotices(const fleet::PoisonNotices& notices, NoticeSource source, TimePoint now)
+{
+    for (const fleet::SignOfLife& it : notices.signsOfLife.items) {
+        if (m_evidence.onSignOfLife(it, source, now))
+            onEvidence();
+    }
+    for (const fleet::PartClearance& it : notices.clearances.items)
+        onAnswered(it.part, now - Duration(it.ageMs), source, now);
+    for (const fleet::PartVerdict& it : notices.verdicts.items) {
+        const Verdict verdict = verdictOf(it, now);
+        const auto answered = m_evidence.answeredAt(it.part);
+        const bool isCleared = answered && *answered > verdict.lastCrashAt;
+        if (!isCleared && PartVerdicts::remaining(verdict, now) > Duration(0))
+            onVerdict(verdict, VerdictChange::Learned, now);
+    }
+    for (const fleet::CrashReport& it : notices.crashes.items) {
+        const ratelimit::UpstreamIncarnation upstream { .upstream = it.upstream, .startedAtMs = it.startedAtMs };
+        const TimePoint crashAt = now - Duration(it.ageMs);
+        const std::vector<WatchedAttempt> suspects = m_watch.takeBegunBefore(upstream, crashAt);
+        if (!suspects.empty())
+            reportCrash(upstream, suspects, crashAt, now);
+        onCrash(it, source, now);
+    }
+}
+
+void PoisonGuard::judge(TimePoint now)
+{
+    if (!std::exchange(m_evidenceChanged, false))
+        return;
+    while (const auto culprit = m_evidence.findCulprit(m_verdicts.formerlyConvicted())) {
+        const Verdict verdict { .part = culprit->part,
+            .convictedBy = m_self,
+            .lastCrashAt = culprit->lastCrashAt,
+            .lastSeenAt = now,
+            .crashes = culprit->crashes };
+        onVerdict(verdict, VerdictChange::Convicted, now);
+    }
+}
+
+void PoisonGuard::tick(TimePoint now)
+{
+    for (const WatchedAttempt& attempt : m_watch.takeOutlived(now)) {
+        for (const fleet::SuspectPart& it : attempt.parts)
+            onAnswered(it.part, *attempt.headAt, NoticeSource::ThisHost, now);
+    }
+    judge(now);
+    for (const PromptPartId part : m_verdicts.expire(now))
+        m_events.push_back({ .change = VerdictChange::Ended, .verdict = { .part = part } });
+    m_evidence.expire(now);
+}
+
+}
--- /dev/null
+++ b/src/poison/tests/poisonguard_test.cpp
@@ -0,0 +1,234 @@
+#include "fireflyhaven/poison/poisonguard.h"
+
+#include <deque>
+
+#include <criterion/criterion.h>
+
+using namespace fireflyhaven;
+using namespace fireflyhaven::poison;
+using fleet::NoticeScope;
+using fleet::NoticeSource;
+
+namespace {
+
+constexpr TimePoint START { Duration(1'000'000) };
+const PromptPartId FIRST(1);
+const PromptPartId DEADLY(0xdead);
+constexpr std::uint32_t SOUND_UPSTREAM = 30;
+
+ratelimit::UpstreamIncarnation upstream(std::uint32_t n) { return { .upstream = n, .startedAtMs = 1 }; }
+
+// Guards of several hosts that tell each other everything.
+struct Fleet {
+    explicit Fleet(int n)
+    {
+        for (int k = 0; k < n; ++k)
+            guards.emplace_back(HostId("host-" + std::to_string(k)));
+    }
+
+    void exchange()
+    {
+        for (std::size_t from = 0; from < guards.size(); ++from) {
+            const fleet::PoisonNotices notices = guards[from].poisonNotices(NoticeScope::Host, now);
+            for (std::size_t to = 0; to < guards.size(); ++to) {
+                if (to != from)
+                    guards[to].onPoisonNotices(notices, NoticeSource::OwnDataCentre, now);
+            }
+        }
+    }
+    void advance(Duration time)
+    {
+        constexpr Duration STEP { 100 };
+        for (const TimePoint end = now + time; now < end; now += std::min(STEP, end - now)) {
+            for (PoisonGuard& it : guards)
+                it.tick(now);
+            exchange();
+        }
+    }
+    AttemptNumber send(std::size_t host, std::uint32_t to, std::uint64_t part)
+    {
+        const AttemptNumber number(++m_lastAttempt);
+        guards[host].onSent(
+            number, upstream(to), { FIRST, PromptPartId(part), PromptPartId(1'000'000 + m_lastAttempt) }, now);
+        return number;
+    }
+    void answer(std::size_t host, AttemptNumber number) { guards[host].onAnswerBegun(number, now); }
+    // A request with the deadly part crashes the upstream 50 ms after the head of its answer.
+    void crashWithDeadly(std::size_t host, std::uint32_t at)
+    {
+        const AttemptNumber number = send(host, at, DEADLY.value());
+        answer(host, number);
+        now += Duration(50);
+        guards[host].onConnectionLost(number, upstream(at), now);
+    }
+    bool refuses(std::size_t host, PromptPartId part)
+    {
+        return guards[host].refusalOf({ FIRST, part, PromptPartId(99) }, now).has_value();
+    }
+    bool allRefuse(PromptPartId part)
+    {
+        bool all = true;
+        for (std::size_t n = 0; n < guards.size(); ++n)
+            all = refuses(n, part) && all;
+        return all;
+    }
+    bool noneRefuses(PromptPartId part)
+    {
+        bool none = true;
+        for (std::size_t n = 0; n < guards.size(); ++n)
+            none = !refuses(n, part) && none;
+        return none;
+    }
+    // Three crashes, each seen by another host; sound requests with the same first part are answered meanwhile.
+    void convictDeadly()
+    {
+        for (std::uint32_t n = 0; n < 3; ++n) {
+            crashWithDeadly(n, n + 1);
+            answer(0, send(0, SOUND_UPSTREAM, 2));
+            advance(Duration(600));
+        }
+    }
+
+    std::deque<PoisonGuard> guards;
+    TimePoint now = START;
+
+private:
+    std::uint64_t m_lastAttempt = 0;
+};
+
+}
+
+// Guards against a part that no host sees often enough by itself.
+Test(poisonGuard, crashesSeenByDifferentHostsConvictThePartEverywhere)
+{
+    Fleet it(5);
+    it.convictDeadly();
+    cr_assert(it.allRefuse(DEADLY));
+    cr_assert(it.noneRefuses(PromptPartId(7)), "a request that shares the first part is not refused");
+}
+
+// Guards against refusing sound requests when operators kill upstreams.
+Test(poisonGuard, upstreamsKilledByHandConvictNoPart)
+{
+    constexpr std::uint32_t UPSTREAMS = 18;
+    for (const Duration interval : { Duration(5), Duration(100), Duration(400), Duration(1500) }) {
+        Fleet it(5);
+        it.answer(0, it.send(0, UPSTREAMS + 1, 3));
+        it.advance(Duration(1000));
+        std::uint64_t part = 10;
+        for (std::uint32_t killed = 1; killed <= UPSTREAMS; ++killed) {
+            std::vector<std::pair<std::size_t, AttemptNumber>> lost;
+            for (std::size_t host = 0; host < it.guards.size(); ++host) {
+                lost.emplace_back(host, it.send(host, killed, ++part));
+                it.answer(host, it.send(host, UPSTREAMS + 1, part - 20));
+            }
+            it.now += Duration(20);
+            for (const auto& [host, number] : lost)
+                it.guards[host].onConnectionLost(number, upstream(killed), it.now);
+            it.advance(interval);
+        }
+        for (std::uint64_t n = 1; n <= part; ++n)
+            cr_assert(it.noneRefuses(PromptPartId(n)), "part %lu after kills every %ld ms", n, interval.count());
+    }
+}
+
+// Guards against a cut-off host whose lost connections look like crashes to the others.
+Test(poisonGuard, hostCutOffFromUpstreamsConvictsNoPart)
+{
+    Fleet it(4);
+    constexpr std::uint32_t UPSTREAMS = 6;
+    // A request with a rare part is lost at one upstream after the other, while the other hosts reach all of them.
+    for (std::uint32_t n = 1; n <= UPSTREAMS; ++n) {
+        const AttemptNumber lost = it.send(0, n, 77);
+        it.now += Duration(700);
+        it.guards[0].onConnectionLost(lost, upstream(n), it.now);
+        it.now += Duration(10);
+        for (std::size_t host = 1; host < it.guards.size(); ++host) {
+            const AttemptNumber answered = it.send(host, n, 500 + n);
+            it.now += Duration(20);
+            it.answer(host, answered);
+        }
+        it.advance(Duration(300));
+    }
+    cr_assert(it.noneRefuses(PromptPartId(77)));
+}
+
+Test(poisonGuard, restartedHostLearnsVerdicts)
+{
+    Fleet it(4);
+    it.convictDeadly();
+    it.guards.emplace_back(HostId("restarted"));
+    it.advance(Duration(200));
+    cr_assert(it.refuses(4, DEADLY));
+}
+
+Test(poisonGuard, verdictEndsAfterRequestsStopAndReturnsWithOneCrash)
+{
+    Fleet it(3);
+    it.convictDeadly();
+    it.advance(Duration(30'000));
+    cr_assert(it.refuses(0, DEADLY), "a request within the lifetime renews the verdict on all hosts");
+    it.advance(Duration(50'000));
+    cr_assert(it.refuses(1, DEADLY));
+    it.advance(Duration(70'000));
+    cr_assert(it.noneRefuses(DEADLY));
+    it.crashWithDeadly(2, 9);
+    it.advance(Duration(300));
+    cr_assert(it.allRefuse(DEADLY));
+}
+
+Test(poisonGuard, answerWithoutACrashWithdrawsTheVerdict)
+{
+    Fleet it(3);
+    const AttemptNumber early = it.send(1, 12, DEADLY.value());
+    it.convictDeadly();
+    it.answer(1, early);
+    it.advance(Duration(1000));
+    cr_assert(it.noneRefuses(DEADLY));
+}
+
+// Guards against an answer that is given up for a larger model's: it shows nothing of its part.
+Test(poisonGuard, abandonedAnswerClearsNoPart)
+{
+    Fleet it(3);
+    it.convictDeadly();
+    const AttemptNumber abandoned = it.send(0, 15, DEADLY.value());
+    it.answer(0, abandoned);
+    it.guards[0].onEnded(abandoned, AttemptEnd::Abandoned);
+    it.advance(Duration(1000));
+    cr_assert(it.allRefuse(DEADLY));
+}
+
+// Guards against a crash whose cause was given up for a larger model just before, so that its host loses no request.
+Test(poisonGuard, answerGivenUpJustBeforeACrashThatOthersSeeIsASuspect)
+{
+    Fleet it(3);
+    for (std::uint32_t n = 1; n <= 3; ++n) {
+        const AttemptNumber stream = it.send(1, n, 40 + n);
+        it.answer(1, stream);
+        it.answer(0, it.send(0, SOUND_UPSTREAM, 2));
+        it.advance(Duration(1000));
+        const AttemptNumber deadly = it.send(0, n, DEADLY.value());
+        it.answer(0, deadly);
+        it.guards[0].onEnded(deadly, AttemptEnd::Abandoned);
+        it.now += Duration(80);
+        it.guards[1].onConnectionLost(stream, upstream(n), it.now);
+        it.advance(Duration(400));
+    }
+    it.advance(Duration(300));
+    cr_assert(it.allRefuse(DEADLY));
+}
+
+// Guards against streams that had long begun their answers being blamed for a crash.
+Test(poisonGuard, requestWhoseAnswerBeganLongBeforeIsNoSuspect)
+{
+    Fleet it(2);
+    for (std::uint32_t n = 1; n <= 4; ++n) {
+        const AttemptNumber stream = it.send(0, n, 33);
+        it.answer(0, stream);
+        it.advance(Duration(500));
+        it.guards[0].onConnectionLost(stream, upstream(n), it.now);
+        it.advance(Duration(500));
+    }
+    cr_assert(it.noneRefuses(PromptPartId(33)));
+}
