Hand requests of a host that is cut off from all upstreams to other hosts

Callers saw: of the first tries at cut-off hosts 7 of 426 served, elsewhere 554 of 561; refused after four connects that time out, as long as the cut lasts. Cause: a host has no way to upstreams but its own, does not know that it is cut off, and goes on saying that it takes callers. Class: a host that judges the world by what only itself sees; the same shows in what it reports: sound hosts avoided upstreams that they reach. Change: probes tell a cut of the host from upstreams that are down; while cut off, the host leaves the directory and hands each request to a host that reaches upstreams, which answers it as its own, once. Unanswered attempts are told late or not at all, ejections of the cut are forgotten after it, and no part or version is judged by it. docs/DECISIONS.md has the ways weighed; the note was written after the first trials of the code, not before it. Not in this commit: brittle upstreams.

--- a/include/fireflyhaven/balancing/balancer.h
+++ b/include/fireflyhaven/balancing/balancer.h
@@ -120,6 +120,10 @@
     // In-flight requests and cumulative results of this host, by upstream. Both restart at 0 when the upstream is
     // removed.
     std::vector<fleet::UpstreamCounters> counters(TimePoint now) const;
+    // This host is cut off from the upstreams: its unanswered attempts say nothing of them.
+    void onCutOff();
+    // This host reaches the upstreams again.
+    void onReachRestored();
     int inFlight(const UpstreamId& upstream) const;
     // Whether the upstream is not ejected, or is due for a probe.
     bool isUsable(const UpstreamId& upstream, TimePoint now) const;
@@ -144,6 +148,8 @@
         TimePoint slownessAt {};
         std::uint32_t successes = 0;
         std::uint32_t failures = 0;
+        // When attempts ended without an answer that the other hosts are not told of yet, oldest first.
+        std::vector<TimePoint> unconfirmedFailures;
         int openPermitRequests = 0;
         // The issuer of the upstream's permits has none to give before then.
         TimePoint permitsRefusedUntil {};
@@ -177,6 +183,8 @@
         std::vector<Candidate>& candidates, const UpstreamRequirements& requirements, TimePoint now);
     Ticket recordSend(
         const Candidate& candidate, const UpstreamRequirements& requirements, int hostCount, TimePoint now);
+    // Counts the unanswered attempts that are not due to a cut of this host.
+    void confirmFailures(TimePoint now);
     static Duration pendingTime(const LocalState& state, TimePoint now);
     static double slownessOf(const LocalState& state, TimePoint now);
     double warmupRate(const catalog::UpstreamState& it) const;
--- a/include/fireflyhaven/balancing/types/upstreamrequirements.h
+++ b/include/fireflyhaven/balancing/types/upstreamrequirements.h
@@ -35,10 +35,14 @@
 // How a request to an upstream ended, as far as it counts for the upstream's health.
 enum class SendOutcome {
     Succeeded,
-    // An error, a malformed answer, or none in time.
+    // An error or a malformed answer.
     Failed,
+    // No answer: the connection was lost or the time ran out. The fault may be on this host's side.
+    Unanswered,
     // No connection was established.
     Unreachable,
+    // Another upstream answered at its address.
+    Misdirected,
     // The upstream reported that it did not run the request.
     Refused,
     // Cancelled by the caller or this host; does not count.
--- a/include/fireflyhaven/balancing/upstreamhealth.h
+++ b/include/fireflyhaven/balancing/upstreamhealth.h
@@ -71,6 +71,8 @@
     void onAnswers(double successes, double failures, const ServiceHealth& service, TimePoint now);
     // No connection was established: the upstream is ejected at once.
     void onUnreachable(TimePoint now);
+    // Ends an ejection; what led to it was no fault of the upstream.
+    void forgetFailures();
     // Counts requests in flight, since a probe waits until none is.
     void onSent() { ++m_inFlight; }
     void onEnded() { m_inFlight = std::max(0, m_inFlight - 1); }
--- a/include/fireflyhaven/entry/flowcontext.h
+++ b/include/fireflyhaven/entry/flowcontext.h
@@ -2,6 +2,7 @@
 
 #include "fireflyhaven/admission/servicequeues.h"
 #include "fireflyhaven/balancing/balancer.h"
+#include "fireflyhaven/balancing/upstreamreach.h"
 #include "fireflyhaven/dispatch/retrybudgets.h"
 #include "fireflyhaven/entry/ilimitlink.h"
 #include "fireflyhaven/entry/types/flowevent.h"
@@ -64,6 +65,7 @@
     ratelimit::LimitTable& limits;
     ILimitLink& limitLink;
     poison::PoisonGuard& poisonGuard;
+    balancing::UpstreamReach& reach;
     const IHostView& host;
     IFlowObserver& observer;
     FlowOptions options;
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -112,7 +112,7 @@
     // Ends the open attempt, if any, and reports its outcome to the balancer.
     void closeAttempt(balancing::SendOutcome outcome, TimePoint now);
     // Handles an attempt that ended without a response that can be forwarded.
-    void onAttemptUnusable(bool mayHaveRun, std::string_view reason, TimePoint now);
+    void onAttemptUnusable(balancing::SendOutcome outcome, std::string_view reason, TimePoint now);
     void resend(std::string_view reason, const std::optional<UpstreamId>& permitted, TimePoint now);
     // Replaces an attempt that makes no progress if another attempt may follow it.
     void onProgressTimeout(TimePoint now);
--- a/include/fireflyhaven/http/eventclient.h
+++ b/include/fireflyhaven/http/eventclient.h
@@ -6,11 +6,21 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 
 namespace fireflyhaven::http {
 
+// How the attempt to open a connection ended.
+enum class ConnectionResult {
+    Connected,
+    // The peer's machine answered that nothing listens there, or reset the connection.
+    Refused,
+    // No answer in time.
+    TimedOut,
+};
+
 // Whether the peer may have received any part of a failed request.
 enum class SendState { NothingSent, MaybeReceived };
 
@@ -73,6 +83,10 @@
     virtual std::unique_ptr<ClientCall> start(
         const Endpoint& peer, OutgoingRequest request, IResponseObserver& observer)
         = 0;
+    // Opens a connection to the peer and closes it at once. `done` gets how that ended; it is not called from
+    // within this call, nor after the client is destroyed.
+    virtual void checkConnection(const Endpoint& peer, Duration timeout, std::function<void(ConnectionResult)> done)
+        = 0;
     // Number of connections to the peer, idle ones included.
     virtual std::size_t connectionsTo(const Endpoint& peer) const = 0;
     virtual std::size_t idleConnectionsTo(const Endpoint& peer) const = 0;
--- a/src/balancing/internal/balancer.cpp
+++ b/src/balancing/internal/balancer.cpp
@@ -23,6 +23,9 @@
 // Added to both times of a slowness ratio, since ratios of times below it are noise.
 constexpr double SLOWNESS_FLOOR_MS = 30;
 
+// Time in which a host finds out whether it is cut off, before it tells the others of unanswered attempts.
+constexpr Duration FAILURE_CONFIRMATION_TIME { 1500 };
+
 double milliseconds(Duration it) { return static_cast<double>(it.count()); }
 
 Duration duration(double ms) { return Duration(static_cast<Duration::rep>(std::max(0.0, ms))); }
@@ -357,16 +360,41 @@
     state.health.onEnded();
     std::erase_if(state.pendingSends, [&](const PendingSend& p) { return p.number == ticket.number; });
     ServiceHealth& service = m_serviceHealth[ticket.service];
-    if (outcome == SendOutcome::Unreachable)
+    if (outcome == SendOutcome::Unreachable || outcome == SendOutcome::Misdirected)
         state.health.onUnreachable(now);
     if (outcome == SendOutcome::Cancelled)
         return;
     const bool succeeded = outcome == SendOutcome::Succeeded;
-    ++(succeeded ? state.successes : state.failures);
+    if (outcome == SendOutcome::Unanswered || outcome == SendOutcome::Unreachable)
+        state.unconfirmedFailures.push_back(now);
+    else
+        ++(succeeded ? state.successes : state.failures);
     (succeeded ? service.successes : service.failures).add(1, now);
     state.health.onAnswers(succeeded ? 1 : 0, succeeded ? 0 : 1, service, now);
 }
 
+void Balancer::confirmFailures(TimePoint now)
+{
+    for (auto& [id, state] : m_localStates) {
+        const std::size_t confirmed = std::erase_if(
+            state.unconfirmedFailures, [now](TimePoint at) { return now - at >= FAILURE_CONFIRMATION_TIME; });
+        state.failures += static_cast<std::uint32_t>(confirmed);
+    }
+}
+
+void Balancer::onCutOff()
+{
+    for (auto& [id, state] : m_localStates)
+        state.unconfirmedFailures.clear();
+}
+
+void Balancer::onReachRestored()
+{
+    onCutOff();
+    for (auto& [id, state] : m_localStates)
+        state.health.forgetFailures();
+}
+
 void Balancer::onDraining(const Ticket& ticket, TimePoint now)
 {
     m_notices.onDraining(ticket.upstream, ticket.upstreamStartedAtMs, now);
@@ -402,6 +430,7 @@
 
 void Balancer::expire(TimePoint now)
 {
+    confirmFailures(now);
     m_prefixCaches.expire(now);
     m_notices.expire(now);
 }
--- a/src/balancing/internal/upstreamhealth.cpp
+++ b/src/balancing/internal/upstreamhealth.cpp
@@ -48,6 +48,14 @@
     m_probeSuccesses = 0;
 }
 
+void UpstreamHealth::forgetFailures()
+{
+    m_failures.reset();
+    m_ejectedUntil = {};
+    m_nextEjection = m_options.initialEjection;
+    m_probeSuccesses = 0;
+}
+
 bool UpstreamHealth::isUsable(TimePoint now) const
 {
     if (m_ejectedUntil == TimePoint {})
--- a/src/entry/internal/attemptevidence.cpp
+++ b/src/entry/internal/attemptevidence.cpp
@@ -43,6 +43,8 @@
 
 void AttemptEvidence::onGivenUp(const catalog::RouteName& route, const balancing::Ticket& ticket, TimePoint now)
 {
+    if (m_context.reach.isCutOff())
+        return;
     rollout::AnswerSample it = sample(route, ticket, rollout::AnswerKind::Overdue);
     it.time = latencySample(ticket, now);
     if (it.time && it.time->ratio > 1)
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -8,8 +8,10 @@
 #include "fireflyhaven/http/eventserver.h"
 #include "fireflyhaven/http/types/status.h"
 #include "fleetlink.h"
+#include "handoverdispatcher.h"
 #include "limitlink.h"
 #include "poisonlink.h"
+#include "reachprober.h"
 #include "requestdispatcher.h"
 #include "directoryhostselector.h"
 #include "statuspages.h"
@@ -27,6 +29,10 @@
 constexpr Duration DIRECTORY_TTL { 2000 };
 constexpr std::size_t MAX_ADDRESSES = 64;
 constexpr std::size_t MAX_METRICS_CONNECTIONS = 16;
+// A host that takes another one's request and cannot serve it asks the caller to return after this time.
+constexpr Duration RETRY_AFTER_HANDOVER { 300 };
+// A host that acknowledges nothing for this long is treated as dead.
+constexpr Duration HOST_USER_TIMEOUT { 700 };
 // Interval at which a summary of the host's state is logged.
 constexpr Duration STATE_LOG_INTERVAL { 5000 };
 // An unknown route is reported as not found only if the operator's records were confirmed within this time.
@@ -57,7 +63,7 @@
 class AsioEntryHost final : public EntryHost, public IHostView, public ICatalogListener, public fleet::IReportDelegate {
 public:
     AsioEntryHost(boost::asio::io_context& loop, const IClock& clock, const IWireCodec& codec,
-        store::IRecordStore& store, EntrySettings settings)
+        store::IRecordStore& store, EntrySettings settings, const UpstreamClientFactory& createUpstreamClient)
         : m_loop(loop)
         , m_clock(clock)
         , m_codec(codec)
@@ -69,7 +75,10 @@
         , m_escalationPolicy({ .alwaysLargest = m_settings.naivePolicy })
         , m_rollouts(rolloutOptions(m_settings.bounds))
         , m_retries(retryOptions(m_settings.bounds, 1))
-        , m_client(http::EventClient::create(loop, clock, { .userTimeout = UPSTREAM_USER_TIMEOUT }))
+        , m_client(createUpstreamClient
+                  ? createUpstreamClient()
+                  : http::EventClient::create(loop, clock, { .userTimeout = UPSTREAM_USER_TIMEOUT }))
+        , m_hostClient(http::EventClient::create(loop, clock, { .userTimeout = HOST_USER_TIMEOUT }))
         , m_decisionLog(clock, m_metrics)
         , m_catalogSync({ .loop = loop,
               .clock = clock,
@@ -111,6 +120,7 @@
             .limits = m_limits,
             .limitLink = m_limitLink,
             .poisonGuard = m_poisonGuard,
+            .reach = m_reach,
             .host = *this,
             .observer = m_decisionLog }
         , m_driverContext { .loop = loop,
@@ -119,6 +129,19 @@
             .client = *m_client,
             .flowContext = m_flowContext }
         , m_requestDispatcher(m_driverContext, m_serviceQueues)
+        , m_handoverDispatcher({ .handover = { .loop = loop,
+                                     .clock = clock,
+                                     .codec = codec,
+                                     .client = *m_hostClient,
+                                     .mayRepeat = [this](const CallerRequest& it) { return mayRepeat(it); } },
+              .hosts = m_fleetLink.hosts(),
+              .settings = m_settings,
+              .metrics = m_metrics })
+        , m_reachProber({ .clock = clock,
+              .catalog = m_catalog,
+              .client = *m_client,
+              .reach = m_reach,
+              .onChanged = [this](bool cutOff) { onReachChanged(cutOff); } })
         , m_statusPages({ .clock = clock,
               .host = m_settings.host,
               .catalog = m_catalog,
@@ -153,6 +176,10 @@
                 startServer(*m_settings.metrics, MAX_METRICS_CONNECTIONS,
                     [this](auto exchange) { m_statusPages.serve(*exchange); }));
         }
+        if (const auto address = handoverAddress(m_settings, m_settings.frontend.ip)) {
+            BOOST_LEAF_ASSIGN(m_handoverServer,
+                startServer(*address, limit / 2, [this](auto exchange) { serveHandedOver(std::move(exchange)); }));
+        }
         BOOST_LEAF_CHECK(m_catalogSync.listen({ .ip = m_settings.frontend.ip, .port = m_settings.firstPeerPort }));
         BOOST_LEAF_CHECK(m_fleetLink.open());
         m_catalogSync.start();
@@ -182,11 +209,12 @@
     {
         if (m_drainingSince)
             return;
-        telemetry::logEvent(
-            spdlog::level::info, "host_stopping", { { "open_requests", m_requestDispatcher.openRequests() } });
+        telemetry::logEvent(spdlog::level::info, "host_stopping", { { "open_requests", openRequests() } });
         m_drainingSince = m_clock.now();
         m_shutdownDone = std::move(done);
         m_frontend->closeAfterResponses();
+        if (m_handoverServer)
+            m_handoverServer->closeAfterResponses();
         m_fleetLink.reportNow();
         pollShutdown();
     }
@@ -219,10 +247,13 @@
     void onConfiguration() override
     {
         const catalog::CallerLimits& bounds = m_catalog.configuration().callerLimits;
-        m_frontend->setLimits({ .maxHeaderBytes = bounds.maxHeaderBytes,
+        const http::RequestLimits limits { .maxHeaderBytes = bounds.maxHeaderBytes,
             .maxBodyBytes = bounds.maxBodyBytes,
             .headerTimeout = bounds.headerTimeout,
-            .idleTimeout = bounds.idleTimeout });
+            .idleTimeout = bounds.idleTimeout };
+        m_frontend->setLimits(limits);
+        if (m_handoverServer)
+            m_handoverServer->setLimits(limits);
     }
     void onRolloutOrder(const catalog::RolloutOrder& order) override
     {
@@ -257,7 +288,7 @@
 
     void fillReport(fleet::HostReport& report, bool full, TimePoint now) override
     {
-        report.acceptsRequests = acceptsCallers();
+        report.acceptsRequests = takesCallers();
         report.reachesStore = m_catalogSync.reachesStore();
         for (const fleet::UpstreamCounters& it : m_balancer.counters(now)) {
             fleet::UpstreamCounters& last = m_lastReported[it.upstream];
@@ -284,8 +315,45 @@
     }
 
     bool acceptsCallers() const { return m_catalog.hasConfiguration() && !m_drainingSince; }
+    std::size_t openRequests() const
+    {
+        return m_requestDispatcher.openRequests() + m_handoverDispatcher.openRequests();
+    }
+    // Whether callers and other hosts should send requests here.
+    bool takesCallers() const { return acceptsCallers() && !m_reach.isCutOff(); }
+
+    void serveCaller(std::shared_ptr<http::Exchange> exchange)
+    {
+        if (m_reach.isCutOff() && m_handoverDispatcher.canTake(m_clock.now()))
+            return m_handoverDispatcher.serve(std::move(exchange));
+        m_requestDispatcher.serve(std::move(exchange));
+    }
+
+    // Serves a request that another host has taken from its caller. It is never handed on again.
+    void serveHandedOver(std::shared_ptr<http::Exchange> exchange)
+    {
+        m_metrics.count("requests_taken_over");
+        if (!m_reach.isCutOff())
+            return m_requestDispatcher.serve(std::move(exchange));
+        const AttemptId attempt = m_codec.decodeRequest(exchange->head()).attempt;
+        exchange->sendResponse(m_codec.encodeLocalResponse(STATUS_UNAVAILABLE, attempt, RETRY_AFTER_HANDOVER), {});
+    }
+
+    bool mayRepeat(const CallerRequest& request) const
+    {
+        const auto route = m_catalog.routes().find(request.host, request.path);
+        return route && route->mayRepeat();
+    }
 
-    void serveCaller(std::shared_ptr<http::Exchange> exchange) { m_requestDispatcher.serve(std::move(exchange)); }
+    void onReachChanged(bool cutOff)
+    {
+        telemetry::logEvent(spdlog::level::warn, cutOff ? "upstreams_unreachable" : "upstreams_reachable");
+        if (cutOff)
+            m_balancer.onCutOff();
+        else
+            m_balancer.onReachRestored();
+        m_fleetLink.reportNow();
+    }
 
     // Deferred, because the flow that asked may still be executing one of its own functions.
     void deliverPermit(admission::TicketId request, const ratelimit::PermitDecision& decision)
@@ -328,7 +396,7 @@
         const auto add = [&](const DataCentreId& dataCentre, const http::Endpoint& address) {
             (dataCentre == query.dataCentre ? local : remote).push_back(address);
         };
-        if (acceptsCallers())
+        if (takesCallers())
             add(m_settings.dataCentre, m_settings.frontend);
         for (const fleet::KnownHost* it : m_fleetLink.hosts().live(m_clock.now())) {
             if (it->report.acceptsRequests)
@@ -351,6 +419,7 @@
         m_limits.expire(now);
         m_limitLink.tick(now);
         m_poisonLink.tick(now);
+        m_reachProber.tick(now);
         updateSharingHosts(now);
         m_statusWriter.tick(isStatusWriter(now), now);
         if (now - m_stateLoggedAt >= STATE_LOG_INTERVAL)
@@ -387,7 +456,7 @@
     bool isStatusWriter(TimePoint now) const
     {
         // The other hosts exclude draining hosts and those that cannot reach the store from the election.
-        if (!m_catalogSync.reachesStore() || !acceptsCallers())
+        if (!m_catalogSync.reachesStore() || !takesCallers())
             return false;
         if (m_fleetLink.hosts().isLayered()) {
             const std::vector<HostId> readers = m_fleetLink.hosts().storeReaders(now);
@@ -420,10 +489,9 @@
     void pollShutdown()
     {
         const Duration age = m_clock.now() - *m_drainingSince;
-        const bool requestsDone = age > ACCEPT_REQUESTS_AFTER_TERM && m_requestDispatcher.openRequests() == 0;
+        const bool requestsDone = age > ACCEPT_REQUESTS_AFTER_TERM && openRequests() == 0;
         if (requestsDone || age > m_settings.bounds.shutdownGrace - SHUTDOWN_MARGIN) {
-            telemetry::logEvent(
-                spdlog::level::info, "host_stopped", { { "requests_cut", m_requestDispatcher.openRequests() } });
+            telemetry::logEvent(spdlog::level::info, "host_stopped", { { "requests_cut", openRequests() } });
             spdlog::default_logger()->flush();
             return m_shutdownDone();
         }
@@ -446,7 +514,10 @@
     rollout::RolloutController m_rollouts;
     dispatch::RetryBudgets m_retries;
     admission::ServiceQueues m_serviceQueues;
+    balancing::UpstreamReach m_reach;
     std::unique_ptr<http::EventClient> m_client;
+    // For requests that are handed to other hosts.
+    std::unique_ptr<http::EventClient> m_hostClient;
     telemetry::Metrics m_metrics;
     DecisionLog m_decisionLog;
     CatalogSync m_catalogSync;
@@ -459,11 +530,15 @@
     FlowContext m_flowContext;
     DriverContext m_driverContext;
     RequestDispatcher m_requestDispatcher;
+    HandoverDispatcher m_handoverDispatcher;
+    ReachProber m_reachProber;
     StatusPages m_statusPages;
     std::unique_ptr<http::EventServer> m_frontend;
     std::unique_ptr<http::EventServer> m_readiness;
     std::unique_ptr<http::EventServer> m_directory;
     std::unique_ptr<http::EventServer> m_metricsServer;
+    // Takes requests from other hosts; null if the settings leave no port for it.
+    std::unique_ptr<http::EventServer> m_handoverServer;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_queueTimer;
     boost::asio::steady_timer m_shutdownTimer;
@@ -482,9 +557,10 @@
 }
 
 Result<std::unique_ptr<EntryHost>> EntryHost::start(boost::asio::io_context& loop, const IClock& clock,
-    const IWireCodec& codec, store::IRecordStore& store, EntrySettings settings)
+    const IWireCodec& codec, store::IRecordStore& store, EntrySettings settings,
+    const UpstreamClientFactory& createUpstreamClient)
 {
-    auto host = std::make_unique<AsioEntryHost>(loop, clock, codec, store, std::move(settings));
+    auto host = std::make_unique<AsioEntryHost>(loop, clock, codec, store, std::move(settings), createUpstreamClient);
     BOOST_LEAF_CHECK(host->listen());
     return std::unique_ptr<EntryHost>(std::move(host));
 }
--- /dev/null
+++ b/src/entry/internal/handoverdriver.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "fireflyhaven/entry/wirecodec.h"
+#include "fireflyhaven/http/eventclient.h"
+#include "fireflyhaven/http/exchange.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace fireflyhaven::entry {
+
+// Objects shared by all handed-over requests of a host.
+struct HandoverContext {
+    boost::asio::io_context& loop;
+    const IClock& clock;
+    const IWireCodec& codec;
+    http::EventClient& client;
+    // Whether the request may run more than once.
+    std::function<bool(const CallerRequest&)> mayRepeat;
+};
+
+// Hands one caller's request to another host, which answers it as one of its own, and passes the answer on. Tries the
+// hosts in turn while no host can have run a request that must not be repeated.
+class HandoverDriver final : public http::IResponseObserver, public http::IExchangeObserver {
+public:
+    // `hosts` are the addresses that take handed-over requests, the preferred one first.
+    HandoverDriver(const HandoverContext& context, std::shared_ptr<http::Exchange> exchange,
+        std::vector<http::Endpoint> hosts, std::function<void()> onDone);
+    ~HandoverDriver() override;
+    HandoverDriver(const HandoverDriver&) = delete;
+    HandoverDriver& operator=(const HandoverDriver&) = delete;
+
+    void begin() { startNext(); }
+
+private:
+    http::HeadVerdict onHead(const http::ResponseHead& head) override;
+    void onBodyData(std::string_view piece) override;
+    void onComplete() override;
+    void onFailed(http::SendState state, const std::string& reason) override;
+    void onCallerDisconnected() override;
+    void onWritable() override;
+
+    // Hands the request to the next host, or fails it if there is none.
+    void startNext();
+    http::RequestHead handedOverHead() const;
+    void fail();
+    // Must be the last statement of a callback, because the owner then destroys the driver.
+    void notifyDone();
+
+    const HandoverContext& m_context;
+    std::shared_ptr<http::Exchange> m_exchange;
+    const std::vector<http::Endpoint> m_hosts;
+    std::function<void()> m_onDone;
+    const CallerRequest m_request;
+    const TimePoint m_receivedAt;
+    std::size_t m_nextHost = 0;
+    bool m_mayHaveRun = false;
+    std::unique_ptr<http::ClientCall> m_call;
+    http::ResponseHead m_head;
+    bool m_isStream = false;
+    bool m_headSent = false;
+    // Body of an answer that is no stream; passed on once it is complete.
+    std::string m_body;
+};
+
+}
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -331,11 +331,12 @@
 
 void RequestFlow::onAttemptFailed(http::SendState state, const std::string& reason, TimePoint now)
 {
+    m_context.reach.onUnanswered(m_ticket->upstream, now);
     if (state == http::SendState::MaybeReceived) {
-        if (m_promptParts.size() > 1)
+        if (m_promptParts.size() > 1 && !m_context.reach.isCutOff())
             m_context.poisonGuard.onConnectionLost(attemptNumber(*m_ticket),
                 ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs), now);
-        return onAttemptUnusable(true, reason, now);
+        return onAttemptUnusable(SendOutcome::Unanswered, reason, now);
     }
     reportFailedAttempt(reason, now);
     --m_sends;
@@ -348,14 +349,13 @@
     resend(reason, std::nullopt, now);
 }
 
-void RequestFlow::onAttemptUnusable(bool mayHaveRun, std::string_view reason, TimePoint now)
+void RequestFlow::onAttemptUnusable(SendOutcome outcome, std::string_view reason, TimePoint now)
 {
+    const bool mayHaveRun = outcome == SendOutcome::Failed || outcome == SendOutcome::Unanswered;
     reportFailedAttempt(reason, now);
     if (m_ticket)
         m_target.exclude(m_ticket->upstream);
-    const bool misdirected = !mayHaveRun && m_responseInfo.status == STATUS_MISDIRECTED;
-    const SendOutcome refused = misdirected ? SendOutcome::Unreachable : SendOutcome::Refused;
-    closeAttempt(mayHaveRun ? SendOutcome::Failed : refused, now);
+    closeAttempt(outcome, now);
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     if (!mayRetry(mayHaveRun, now) || !m_context.retries.tryAcquire(m_target.service(), m_sends, now))
         return failRequest(reason, now);
@@ -417,7 +417,7 @@
         if (attemptOpen)
             m_actions.cancelAttempt();
         m_mayHaveRun = m_mayHaveRun || attemptOpen;
-        closeAttempt(SendOutcome::Failed, now);
+        closeAttempt(SendOutcome::Unanswered, now);
         if (m_headSent || !m_mayHaveRun)
             return failRequest("deadline exceeded", now);
         return respondLocally(FlowStep::Failed, STATUS_GATEWAY_TIMEOUT, std::nullopt, "deadline exceeded", now);
@@ -450,7 +450,7 @@
     m_actions.cancelAttempt();
     m_mayHaveRun = true;
     m_target.exclude(m_ticket->upstream);
-    closeAttempt(SendOutcome::Failed, now);
+    closeAttempt(SendOutcome::Unanswered, now);
     resend(REASON, permitted, now);
 }
 
--- a/src/entry/internal/requestflowanswers.cpp
+++ b/src/entry/internal/requestflowanswers.cpp
@@ -31,7 +31,7 @@
     const bool trusted = wasRefusedUnexecuted(info) || (info.isSigned && !info.hasContentCoding) || info.notExecuted;
     if (!trusted) {
         m_actions.cancelAttempt();
-        onAttemptUnusable(true, "response unsigned or with a content coding", now);
+        onAttemptUnusable(SendOutcome::Failed, "response unsigned or with a content coding", now);
         return http::HeadVerdict::Accept;
     }
     m_responseInfo = info;
@@ -174,7 +174,7 @@
             onStreamProgress(now);
         if (m_splitter.incompleteEvent().size() > MAX_BUFFERED_BYTES) {
             m_actions.cancelAttempt();
-            onAttemptUnusable(true, "event exceeds 1 MiB", now);
+            onAttemptUnusable(SendOutcome::Failed, "event exceeds 1 MiB", now);
         }
         return;
     }
@@ -183,7 +183,7 @@
     m_body += bytes;
     if (m_body.size() > MAX_BUFFERED_BYTES) {
         m_actions.cancelAttempt();
-        onAttemptUnusable(true, "response exceeds 1 MiB", now);
+        onAttemptUnusable(SendOutcome::Failed, "response exceeds 1 MiB", now);
     }
 }
 
@@ -217,7 +217,7 @@
     if (m_stage != Stage::Streaming)
         return onBufferedResponse(now);
     if (!m_splitter.incompleteEvent().empty())
-        return onAttemptUnusable(true, "stream ended inside an event", now);
+        return onAttemptUnusable(SendOutcome::Failed, "stream ended inside an event", now);
     FlowEvent answered = event(FlowStep::Answered);
     answered.status = m_head.status;
     answered.confidence = m_responseInfo.confidence;
@@ -232,18 +232,18 @@
 void RequestFlow::onBufferedResponse(TimePoint now)
 {
     if (m_responseInfo.status == STATUS_MISDIRECTED)
-        return onAttemptUnusable(false, "address belongs to another upstream", now);
+        return onAttemptUnusable(SendOutcome::Misdirected, "address belongs to another upstream", now);
     if (wasRefusedUnexecuted(m_responseInfo))
-        return onAttemptUnusable(false, "upstream refused the request without running it", now);
+        return onAttemptUnusable(SendOutcome::Refused, "upstream refused the request without running it", now);
     const bool failed = m_responseInfo.status >= STATUS_SERVER_ERROR;
     if (failed) {
         m_mayHaveRun = true;
         m_evidence.onError(m_route->name, *m_ticket, m_responseInfo, now);
     }
     if (failed && mayRetry(true, now))
-        return onAttemptUnusable(true, "upstream returned a server error", now);
+        return onAttemptUnusable(SendOutcome::Failed, "upstream returned a server error", now);
     if (m_headSent)
-        return onAttemptUnusable(true, "stream could not be resumed", now);
+        return onAttemptUnusable(SendOutcome::Failed, "stream could not be resumed", now);
     FlowEvent answered = event(FlowStep::Answered);
     answered.status = m_responseInfo.status;
     closeAttempt(failed ? SendOutcome::Failed : SendOutcome::Succeeded, now);
--- a/src/entry/tests/flowfixture.h
+++ b/src/entry/tests/flowfixture.h
@@ -179,6 +179,7 @@
     rollout::RolloutController rollouts;
     dispatch::RetryBudgets retries { { .ratio = 1, .slack = 100, .maxAttempts = 100 } };
     admission::ServiceQueues serviceQueues;
+    balancing::UpstreamReach reach;
     FakeHost host;
     StepRecorder steps;
     FlowContext context { .catalog = catalog,
@@ -190,6 +191,7 @@
         .limits = limits,
         .limitLink = limitLink,
         .poisonGuard = poisonGuard,
+        .reach = reach,
         .host = host,
         .observer = steps };
 };
--- a/src/http/internal/eventclient.cpp
+++ b/src/http/internal/eventclient.cpp
@@ -1,6 +1,7 @@
 #include "fireflyhaven/http/eventclient.h"
 
 #include "clientconnection.h"
+#include "connectioncheck.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -87,6 +88,16 @@
         return call;
     }
 
+    void checkConnection(const Endpoint& peer, Duration timeout, std::function<void(ConnectionResult)> done) override
+    {
+        ++m_connectionsOpened;
+        ConnectionCheck::start(m_loop, peer, timeout,
+            [alive = std::weak_ptr<bool>(m_alive), done = std::move(done)](ConnectionResult result) {
+                if (alive.lock())
+                    done(result);
+            });
+    }
+
     std::size_t connectionsTo(const Endpoint& peer) const override
     {
         const auto it = m_peers.find(peer);
@@ -174,6 +185,7 @@
     const EventClientOptions m_options;
     absl::flat_hash_map<Endpoint, Peer> m_peers;
     std::uint64_t m_connectionsOpened = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 }
--- a/tests/entry/hostfixture.h
+++ b/tests/entry/hostfixture.h
@@ -4,6 +4,7 @@
 #include "fireflyhaven/entry/entryhost.h"
 #include "fireflyhaven/http/eventserver.h"
 #include "fireflyhaven/http/types/status.h"
+#include "cuttableclient.h"
 #include "memorystore.h"
 #include "platform/wirecodec.h"
 
@@ -61,6 +62,7 @@
 struct Host {
     std::unique_ptr<MemoryStore> store;
     entry::EntrySettings settings;
+    std::unique_ptr<Links> links = std::make_unique<Links>();
     std::unique_ptr<entry::EntryHost> host;
 };
 
@@ -238,12 +240,15 @@
         if (m_peerPort == 0)
             m_peerPort = loop.freeEndpoint(ip).port;
         it.settings.firstPeerPort = m_peerPort;
-        it.settings.lastPeerPort = m_peerPort;
+        it.settings.lastPeerPort = static_cast<std::uint16_t>(m_peerPort + 1);
         it.settings.bounds.revocation = REVOCATION;
+        const auto createClient = [this, links = it.links.get()] {
+            return std::make_unique<CuttableClient>(loop.io(), loop.clock(), *links);
+        };
         handleFailure(
             [&]() -> Result<int> {
-                BOOST_LEAF_ASSIGN(
-                    it.host, entry::EntryHost::start(loop.io(), loop.clock(), m_codec, *it.store, it.settings));
+                BOOST_LEAF_ASSIGN(it.host,
+                    entry::EntryHost::start(loop.io(), loop.clock(), m_codec, *it.store, it.settings, createClient));
                 return 0;
             },
             [](const Failure& failure) {
