Count a lost connection as a crash only once the upstream refuses a new one

Cause: connections that are reset at sound upstreams were taken for crashes; three of them in 0.3 s convict before an answer withdraws them. Class: a belief that is acted on before it is checked. Change: the host that loses a connection opens another one to that upstream; only a refusal makes the loss evidence. A stream without framing that ends inside an event is a loss too.

--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -111,6 +111,7 @@
     void startAttempt(const catalog::Upstream& upstream, TimePoint now);
     // Ends the open attempt, if any, and reports its outcome to the balancer.
     void closeAttempt(balancing::SendOutcome outcome, TimePoint now);
+    void reportConnectionLost(TimePoint now);
     // Handles an attempt that ended without a response that can be forwarded.
     void onAttemptUnusable(balancing::SendOutcome outcome, std::string_view reason, TimePoint now);
     void resend(std::string_view reason, const std::optional<UpstreamId>& permitted, TimePoint now);
--- a/include/fireflyhaven/poison/poisonguard.h
+++ b/include/fireflyhaven/poison/poisonguard.h
@@ -47,6 +47,10 @@
     void onAnswerBegun(AttemptNumber number, TimePoint now);
     void onEnded(AttemptNumber number, AttemptEnd end) { m_watch.onEnded(number, end); }
     void onConnectionLost(AttemptNumber number, const ratelimit::UpstreamIncarnation& upstream, TimePoint now);
+    // Returns upstreams that have closed a connection, to be asked whether they still run; each once.
+    std::vector<ratelimit::UpstreamIncarnation> takeUnconfirmedCrashes();
+    // Whether an upstream that has closed a connection was found crashed. Only then the loss counts as evidence.
+    void onCrashChecked(const ratelimit::UpstreamIncarnation& upstream, bool crashed, TimePoint now);
 
     fleet::PoisonNotices poisonNotices(fleet::NoticeScope scope, TimePoint now) const override;
     void onPoisonNotices(const fleet::PoisonNotices& notices, fleet::NoticeSource source, TimePoint now) override;
@@ -71,8 +75,17 @@
     void onEvidence();
     bool isExplained(const fleet::CrashReport& report) const;
 
+    // Losses at one upstream whose cause is not known yet.
+    struct UnconfirmedCrash {
+        ratelimit::UpstreamIncarnation upstream;
+        TimePoint at {};
+        std::vector<WatchedAttempt> suspects;
+        bool isBeingChecked = false;
+    };
+
     const HostId m_self;
     AttemptWatch m_watch;
+    std::vector<UnconfirmedCrash> m_unconfirmed;
     CrashEvidence m_evidence;
     PartVerdicts m_verdicts;
     bool m_hasNews = false;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -100,6 +100,8 @@
         , m_fleetLink(loop, clock, m_settings, store, *this, m_limitLink, m_poisonGuard)
         , m_poisonLink({ .catalog = m_catalog,
               .guard = m_poisonGuard,
+              .clock = clock,
+              .client = *m_client,
               .metrics = m_metrics,
               .sendNotices = [this] { m_fleetLink.sendPoisonNotices(); } })
         , m_hostSelector(m_settings.frontend)
--- a/src/entry/internal/handoverdispatcher.cpp
+++ b/src/entry/internal/handoverdispatcher.cpp
@@ -47,6 +47,7 @@
     std::sort(found.begin(), found.end(),
         [](const Target& a, const Target& b) { return std::pair(a.remote, a.order) < std::pair(b.remote, b.order); });
     std::vector<http::Endpoint> addresses;
+    addresses.reserve(found.size());
     for (const Target& it : found)
         addresses.push_back(it.address);
     return addresses;
--- a/src/entry/internal/poisonlink.cpp
+++ b/src/entry/internal/poisonlink.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr Duration CHECK_TIMEOUT { 300 };
+
 const char* eventName(poison::VerdictChange change)
 {
     switch (change) {
@@ -32,8 +34,33 @@
     return crashes;
 }
 
+std::optional<http::Endpoint> PoisonLink::addressOf(const ratelimit::UpstreamIncarnation& upstream) const
+{
+    for (const auto& [id, it] : m_context.catalog.upstreams()) {
+        if (ratelimit::incarnationOf(id, it.upstream.startedAtMs) == upstream)
+            return it.upstream.address;
+    }
+    return std::nullopt;
+}
+
+// A crashed upstream refuses connections; one that only closed some of them accepts new ones.
+void PoisonLink::checkCrashes(TimePoint now)
+{
+    for (const ratelimit::UpstreamIncarnation& upstream : m_context.guard.takeUnconfirmedCrashes()) {
+        const auto address = addressOf(upstream);
+        if (!address) {
+            m_context.guard.onCrashChecked(upstream, false, now);
+            continue;
+        }
+        m_context.client.checkConnection(*address, CHECK_TIMEOUT, [this, upstream](http::ConnectionResult result) {
+            m_context.guard.onCrashChecked(upstream, result == http::ConnectionResult::Refused, m_context.clock.now());
+        });
+    }
+}
+
 void PoisonLink::tick(TimePoint now)
 {
+    checkCrashes(now);
     m_context.guard.tick(now);
     for (const poison::VerdictEvent& it : m_context.guard.takeEvents())
         log(it);
--- a/src/entry/internal/poisonlink.h
+++ b/src/entry/internal/poisonlink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fireflyhaven/catalog/catalog.h"
+#include "fireflyhaven/http/eventclient.h"
 #include "fireflyhaven/poison/poisonguard.h"
 #include "fireflyhaven/telemetry/metrics.h"
 
@@ -15,6 +16,9 @@
     struct Context {
         const catalog::Catalog& catalog;
         poison::PoisonGuard& guard;
+        const IClock& clock;
+        // Finds out whether an upstream that closed a connection still runs.
+        http::EventClient& client;
         telemetry::Metrics& metrics;
         // Sends the guard's notices to the other hosts.
         std::function<void()> sendNotices;
@@ -27,6 +31,9 @@
     void tick(TimePoint now);
 
 private:
+    void checkCrashes(TimePoint now);
+    // Address of an incarnation of an upstream; no value if it is not known.
+    std::optional<http::Endpoint> addressOf(const ratelimit::UpstreamIncarnation& upstream) const;
     void log(const poison::VerdictEvent& event) const;
 
     const Context m_context;
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -333,9 +333,7 @@
 {
     m_context.reach.onUnanswered(m_ticket->upstream, now);
     if (state == http::SendState::MaybeReceived) {
-        if (m_promptParts.size() > 1 && !m_context.reach.isCutOff())
-            m_context.poisonGuard.onConnectionLost(attemptNumber(*m_ticket),
-                ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs), now);
+        reportConnectionLost(now);
         return onAttemptUnusable(SendOutcome::Unanswered, reason, now);
     }
     reportFailedAttempt(reason, now);
@@ -349,6 +347,15 @@
     resend(reason, std::nullopt, now);
 }
 
+// The upstream may have crashed. A host that is cut off loses connections to sound upstreams.
+void RequestFlow::reportConnectionLost(TimePoint now)
+{
+    if (m_promptParts.size() < 2 || m_context.reach.isCutOff())
+        return;
+    m_context.poisonGuard.onConnectionLost(
+        attemptNumber(*m_ticket), ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs), now);
+}
+
 void RequestFlow::onAttemptUnusable(SendOutcome outcome, std::string_view reason, TimePoint now)
 {
     const bool mayHaveRun = outcome == SendOutcome::Failed || outcome == SendOutcome::Unanswered;
--- a/src/entry/internal/requestflowanswers.cpp
+++ b/src/entry/internal/requestflowanswers.cpp
@@ -216,8 +216,11 @@
     }
     if (m_stage != Stage::Streaming)
         return onBufferedResponse(now);
-    if (!m_splitter.incompleteEvent().empty())
+    if (!m_splitter.incompleteEvent().empty()) {
+        // Without framing, the end of a crashed upstream's connection looks like the end of its stream.
+        reportConnectionLost(now);
         return onAttemptUnusable(SendOutcome::Failed, "stream ended inside an event", now);
+    }
     FlowEvent answered = event(FlowStep::Answered);
     answered.status = m_head.status;
     answered.confidence = m_responseInfo.confidence;
--- a/src/entry/tests/poisonparts_test.cpp
+++ b/src/entry/tests/poisonparts_test.cpp
@@ -107,3 +107,14 @@
     for (const fleet::RolloutView& view : report.rollouts.items)
         cr_assert(!view.rejected);
 }
+
+// Guards against crashes that go unnoticed because the stream has no framing, so that its end is no error.
+Test(poisonParts, streamThatEndsInsideAnEventMayBeACrash)
+{
+    Deployment it;
+    FlowUnderTest flow(it, requestWith({ FIRST, DEADLY, PromptPartId(9) }, "/stream/1"));
+    flow.receiveHead(streamResponse());
+    flow.flow.onAttemptData("id: 1\nda", START + Duration(30));
+    flow.flow.onAttemptEnd(START + Duration(40));
+    cr_assert_eq(it.poisonGuard.takeUnconfirmedCrashes().size(), 1);
+}
--- a/src/poison/internal/attemptwatch.cpp
+++ b/src/poison/internal/attemptwatch.cpp
@@ -21,7 +21,7 @@
 void AttemptWatch::onSent(AttemptNumber number, WatchedAttempt attempt)
 {
     if (!attempt.parts.empty())
-        m_attempts.emplace(number, std::move(attempt));
+        m_attempts[number] = std::move(attempt);
 }
 
 const WatchedAttempt* AttemptWatch::onAnswerBegun(AttemptNumber number, TimePoint now)
--- a/src/poison/internal/poisonguard.cpp
+++ b/src/poison/internal/poisonguard.cpp
@@ -51,10 +51,36 @@
 // The report has no parts where this host has no suspect: another host may have one there.
 void PoisonGuard::onConnectionLost(AttemptNumber number, const ratelimit::UpstreamIncarnation& upstream, TimePoint now)
 {
-    std::vector<WatchedAttempt> suspects = m_watch.takeBegunBefore(upstream, now);
+    auto it = std::find_if(m_unconfirmed.begin(), m_unconfirmed.end(),
+        [&](const UnconfirmedCrash& crash) { return crash.upstream == upstream; });
+    if (it == m_unconfirmed.end())
+        it = m_unconfirmed.insert(it, { .upstream = upstream, .at = now });
+    const std::vector<WatchedAttempt> begun = m_watch.takeBegunBefore(upstream, now);
+    it->suspects.insert(it->suspects.end(), begun.begin(), begun.end());
     if (const auto lost = m_watch.onConnectionLost(number, now))
-        suspects.push_back(*lost);
-    reportCrash(upstream, suspects, now, now);
+        it->suspects.push_back(*lost);
+}
+
+std::vector<ratelimit::UpstreamIncarnation> PoisonGuard::takeUnconfirmedCrashes()
+{
+    std::vector<ratelimit::UpstreamIncarnation> upstreams;
+    for (UnconfirmedCrash& it : m_unconfirmed) {
+        if (!std::exchange(it.isBeingChecked, true))
+            upstreams.push_back(it.upstream);
+    }
+    return upstreams;
+}
+
+void PoisonGuard::onCrashChecked(const ratelimit::UpstreamIncarnation& upstream, bool crashed, TimePoint now)
+{
+    const auto it = std::find_if(m_unconfirmed.begin(), m_unconfirmed.end(),
+        [&](const UnconfirmedCrash& crash) { return crash.upstream == upstream; });
+    if (it == m_unconfirmed.end())
+        return;
+    const UnconfirmedCrash checked = std::move(*it);
+    m_unconfirmed.erase(it);
+    if (crashed)
+        reportCrash(upstream, checked.suspects, checked.at, now);
 }
 
 void PoisonGuard::reportCrash(const ratelimit::UpstreamIncarnation& upstream,
--- a/src/poison/tests/poisonfleet_test.cpp
+++ b/src/poison/tests/poisonfleet_test.cpp
@@ -103,6 +103,7 @@
         it.guard->onSent(number, incarnation, { FIRST, DEADLY, PromptPartId(1000 + m_lastAttempt) }, now);
         it.guard->onAnswerBegun(number, now);
         it.guard->onConnectionLost(number, incarnation, now + Duration(50));
+        it.guard->onCrashChecked(incarnation, true, now + Duration(50));
     }
     std::size_t refusingHosts()
     {
--- a/src/poison/tests/poisonguard_test.cpp
+++ b/src/poison/tests/poisonguard_test.cpp
@@ -54,12 +54,19 @@
     }
     void answer(std::size_t host, AttemptNumber number) { guards[host].onAnswerBegun(number, now); }
     // A request with the deadly part crashes the upstream 50 ms after the head of its answer.
+    // The connection is lost, and the upstream is found crashed.
+    void lose(std::size_t host, AttemptNumber number, std::uint32_t at)
+    {
+        guards[host].onConnectionLost(number, upstream(at), now);
+        for (const ratelimit::UpstreamIncarnation& it : guards[host].takeUnconfirmedCrashes())
+            guards[host].onCrashChecked(it, true, now);
+    }
     void crashWithDeadly(std::size_t host, std::uint32_t at)
     {
         const AttemptNumber number = send(host, at, DEADLY.value());
         answer(host, number);
         now += Duration(50);
-        guards[host].onConnectionLost(number, upstream(at), now);
+        lose(host, number, at);
     }
     bool refuses(std::size_t host, PromptPartId part)
     {
@@ -124,7 +131,7 @@
             }
             it.now += Duration(20);
             for (const auto& [host, number] : lost)
-                it.guards[host].onConnectionLost(number, upstream(killed), it.now);
+                it.lose(host, number, killed);
             it.advance(interval);
         }
         for (std::uint64_t n = 1; n <= part; ++n)
@@ -141,7 +148,7 @@
     for (std::uint32_t n = 1; n <= UPSTREAMS; ++n) {
         const AttemptNumber lost = it.send(0, n, 77);
         it.now += Duration(700);
-        it.guards[0].onConnectionLost(lost, upstream(n), it.now);
+        it.lose(0, lost, n);
         it.now += Duration(10);
         for (std::size_t host = 1; host < it.guards.size(); ++host) {
             const AttemptNumber answered = it.send(host, n, 500 + n);
@@ -212,7 +219,7 @@
         it.answer(0, deadly);
         it.guards[0].onEnded(deadly, AttemptEnd::Abandoned);
         it.now += Duration(80);
-        it.guards[1].onConnectionLost(stream, upstream(n), it.now);
+        it.lose(1, stream, n);
         it.advance(Duration(400));
     }
     it.advance(Duration(300));
@@ -227,8 +234,24 @@
         const AttemptNumber stream = it.send(0, n, 33);
         it.answer(0, stream);
         it.advance(Duration(500));
-        it.guards[0].onConnectionLost(stream, upstream(n), it.now);
+        it.lose(0, stream, n);
         it.advance(Duration(500));
     }
     cr_assert(it.noneRefuses(PromptPartId(33)));
 }
+
+// Guards against sound parts being blamed for connections that are reset while their upstreams live.
+Test(poisonGuard, connectionsResetBySoundUpstreamsConvictNoPart)
+{
+    Fleet it(5);
+    for (std::uint32_t n = 1; n <= 8; ++n) {
+        const std::size_t host = n % it.guards.size();
+        const AttemptNumber number = it.send(host, n, 66);
+        it.guards[host].onConnectionLost(number, upstream(n), it.now);
+        for (const ratelimit::UpstreamIncarnation& unconfirmed : it.guards[host].takeUnconfirmedCrashes())
+            it.guards[host].onCrashChecked(unconfirmed, false, it.now);
+        it.advance(Duration(150));
+    }
+    cr_assert(it.noneRefuses(PromptPartId(66)));
+    cr_assert_eq(it.guards[0].knownCrashes(), 0);
+}
