Test that closed connections of running upstreams refuse no prompt part

The check whether an upstream still runs was tested in the guard only, not with sockets. The fixture's upstreams can now close connections without crashing.

--- a/tests/entry/crashingpart_test.cpp
+++ b/tests/entry/crashingpart_test.cpp
@@ -123,3 +123,23 @@
     cr_assert_geq(
         shareAfter, MIN_SOUND_SHARE * shareBefore, "sound requests: %.2f, before %.2f", shareAfter, shareBefore);
 }
+
+// Guards against refusing sound requests whose connections are closed by upstreams that go on running.
+Test(crashing_part, connectionsClosedByRunningUpstreamsRefuseNoPart, .timeout = 60)
+{
+    Deployment it(HOST_COUNT, UPSTREAM_COUNT);
+    it.answerTime = Duration(60);
+    it.deadlyPart = DEADLY_PART;
+    it.closeInsteadOfCrash = true;
+    it.configure(3);
+    for (std::size_t n = 0; n < HOST_COUNT; ++n)
+        it.await([&] { return it.addresses(n).size() == HOST_COUNT; }, "all hosts have discovered each other");
+    MixedLoad load(it);
+    constexpr int SOUND_PER_DEADLY = 10;
+    load.run(Duration(3000), SOUND_PER_DEADLY);
+    const std::size_t before = it.deadlyArrivals.size();
+    load.run(Duration(2000), SOUND_PER_DEADLY);
+    cr_assert_gt(it.deadlyArrivals.size(), before, "such requests are still sent");
+    for (const Host& host : it.hosts)
+        cr_assert(it.call(*host.settings.metrics, "/state").find("\"refused_parts\": []") != std::string::npos);
+}
--- a/tests/entry/hostfixture.h
+++ b/tests/entry/hostfixture.h
@@ -132,6 +132,8 @@
     Duration answerTime {};
     // Upstreams crash when they begin to answer a request whose prompt has this part; none if empty.
     std::string deadlyPart;
+    // Instead of crashing, they only close the connection of such a request.
+    bool closeInsteadOfCrash = false;
     // Arrivals of such requests, and the crashes.
     std::vector<TimePoint> deadlyArrivals;
     std::vector<TimePoint> crashes;
@@ -147,7 +149,9 @@
             }
             const PendingAnswer due = std::move(m_pending[n]);
             m_pending.erase(m_pending.begin() + static_cast<std::ptrdiff_t>(n));
-            if (isDeadly(due.exchange->head())) {
+            if (isDeadly(due.exchange->head()) && closeInsteadOfCrash) {
+                due.exchange->abort();
+            } else if (isDeadly(due.exchange->head())) {
                 crash(due.upstream);
                 n = 0;
             } else {
