Give the hosts of the tests a port for handovers that nothing else takes

Cause: the fixture gave hosts the port after a free one for handovers, which another listener of the same host may have been given. The ports between hosts now lie below those that the system assigns.

--- a/tests/entry/hostfixture.h
+++ b/tests/entry/hostfixture.h
@@ -20,6 +20,8 @@
 using http::test::RawPeer;
 
 inline constexpr Duration REVOCATION { 1200 };
+// The same on all hosts. Below the ports that the system assigns, so that no other listener of a host has it.
+inline constexpr std::uint16_t FIRST_PEER_PORT = 20'000;
 
 inline nlohmann::json configuration(int version, bool withSecondRoute = false)
 {
@@ -240,11 +242,8 @@
             .readiness = loop.freeEndpoint(ip),
             .directory = loop.freeEndpoint(ip),
             .metrics = loop.freeEndpoint(ip) };
-        // All hosts use the same peer port.
-        if (m_peerPort == 0)
-            m_peerPort = loop.freeEndpoint(ip).port;
-        it.settings.firstPeerPort = m_peerPort;
-        it.settings.lastPeerPort = static_cast<std::uint16_t>(m_peerPort + 1);
+        it.settings.firstPeerPort = FIRST_PEER_PORT;
+        it.settings.lastPeerPort = FIRST_PEER_PORT + 1;
         it.settings.bounds.revocation = REVOCATION;
         const auto createClient = [this, links = it.links.get()] {
             return std::make_unique<CuttableClient>(loop.io(), loop.clock(), *links);
@@ -264,7 +263,6 @@
 
     SharedRecords m_records;
     const platform::WireCodec m_codec;
-    std::uint16_t m_peerPort = 0;
     int m_lastId = 0;
     std::vector<PendingAnswer> m_pending;
 };
