rollout test: draw session and host in separate statements

The order in which the arguments of one call are drawn is the compiler's choice, so x86-64 and arm64 played different loads. The session is drawn first, as the x86-64 build does.

--- a/src/rollout/tests/rollout_test.cpp
+++ b/src/rollout/tests/rollout_test.cpp
@@ -485,7 +485,9 @@
             service.updateCapacity(now);
         if ((now - START).count() % 220 == 0)
             it.exchangeReports(now);
-        service.request(it.random()() % LoadedService::HOSTS, (it.random()() % 400) * 7919 + 1, now, failsAbove);
+        const std::uint64_t session = (it.random()() % 400) * 7919 + 1;
+        const std::size_t host = it.random()() % LoadedService::HOSTS;
+        service.request(host, session, now, failsAbove);
     }
     return service;
 }
