--- a/review/standins/runner.h
+++ b/review/standins/runner.h
@@ -31,9 +31,19 @@
     Clock::time_point begunAt;
 };
 
-// The runs of all runners of a case.
+// What reached all runners of a case, and what they ran.
 class Runs {
 public:
+    void onArrival(const std::string& attempt)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_arrived.insert(attempt);
+    }
+    bool hasArrived(const std::string& attempt) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_arrived.contains(attempt);
+    }
     void add(const Run& run)
     {
         const std::lock_guard lock(m_mutex);
@@ -51,6 +61,7 @@
 private:
     mutable std::mutex m_mutex;
     std::vector<Run> m_runs;
+    std::set<std::string> m_arrived;
 };
 
 // Stand-in for a runner: registers itself in the store, and serves plain requests and streams of events.
@@ -115,6 +126,8 @@
             return connection.write(plainAnswer(421, answerHeaders(request), ""));
         if (attempt.empty())
             return connection.write(plainAnswer(400, answerHeaders(request) + "X-Not-Executed: 1\r\n", ""));
+        m_runs.onArrival(attempt);
+        m_record.line("arrives  %s at %s", attempt.c_str(), m_options.id.c_str());
         const auto deadline = Clock::now() + Milliseconds(std::stol("0" + request.header("x-deadline-ms")));
         switch (takeSlot(connection, deadline)) {
         case Slot::Full:
