--- a/review/standins/client.h
+++ b/review/standins/client.h
@@ -30,16 +30,8 @@
     std::string headers;
 };
 
-// Sends one request on a new connection and reads its answer until the deadline.
-inline Answer send(const Endpoint& to, const Request& request)
+inline std::string textOf(const Request& request)
 {
-    Answer answer { .sentAt = Clock::now() };
-    const auto connection = Connection::open(to, Milliseconds(1000));
-    if (!connection) {
-        answer.endedAt = Clock::now();
-        return answer;
-    }
-    connection->setDeadline(Clock::now() + request.deadline);
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + request.host
         + "\r\nX-Attempt-Id: " + request.attempt + "\r\nX-Deadline-Ms: " + std::to_string(request.deadline.count())
         + "\r\n" + request.headers;
@@ -47,15 +39,32 @@
         text += "Authorization: Token " + request.key + "\r\n";
     if (request.method != "GET")
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-    answer.sentAt = Clock::now();
-    answer.sent = connection->write(text + "\r\n" + request.body);
-    if (answer.sent && connection->readHead(answer.message)) {
+    return text + "\r\n" + request.body;
+}
+
+// Sends one request on this connection and reads its answer until the deadline.
+inline Answer sendOn(Connection& connection, const Request& request)
+{
+    Answer answer { .sentAt = Clock::now() };
+    connection.setDeadline(answer.sentAt + request.deadline);
+    answer.sent = connection.write(textOf(request));
+    if (answer.sent && connection.readHead(answer.message)) {
         answer.status = answer.message.status();
-        answer.complete = connection->readBody(answer.message, true);
+        answer.complete = connection.readBody(answer.message, true);
     }
-    answer.timedOut = connection->timedOut();
+    answer.timedOut = connection.timedOut();
     answer.endedAt = Clock::now();
     return answer;
 }
 
+// Sends one request on a new connection and reads its answer until the deadline.
+inline Answer send(const Endpoint& to, const Request& request)
+{
+    const auto connection = Connection::open(to, Milliseconds(1000));
+    if (connection)
+        return sendOn(*connection, request);
+    const auto now = Clock::now();
+    return { .sentAt = now, .endedAt = now };
+}
+
 }
--- a/review/standins/runner.h
+++ b/review/standins/runner.h
@@ -11,6 +11,8 @@
     int events = 0;
     // Time before the answer, or before each event.
     Milliseconds time { 30 };
+    // So long after a whole plain answer, the runner sends bytes that are no answer; earlier if a request comes.
+    std::optional<Milliseconds> bytesAfter;
 };
 
 struct RunnerOptions {
@@ -159,10 +161,13 @@
         if (m_running >= m_options.slots && m_waiting >= m_options.queue)
             return Slot::Full;
         ++m_waiting;
-        while (m_running >= m_options.slots && !m_stopped && Clock::now() < deadline && !connection.isClosedByPeer())
+        bool callerGone = false;
+        while (m_running >= m_options.slots && !m_stopped && Clock::now() < deadline && !callerGone) {
             m_changed.wait_for(lock, CHECK_INTERVAL);
+            callerGone = connection.isClosedByPeer();
+        }
         --m_waiting;
-        if (m_stopped || connection.isClosedByPeer())
+        if (m_stopped || callerGone)
             return Slot::CallerGone;
         if (m_running >= m_options.slots)
             return Slot::Full;
@@ -191,7 +196,11 @@
             if (!work(connection, std::min(it.time, elapsed(Clock::now(), deadline))))
                 return false;
             const int status = Clock::now() >= deadline ? 504 : 200;
-            return connection.write(plainAnswer(status, answerHeaders(request) + seal, "done\n"));
+            if (!connection.write(plainAnswer(status, answerHeaders(request) + seal, "done\n")))
+                return false;
+            if (it.bytesAfter)
+                sendBytesAfter(connection, *it.bytesAfter, request.header("x-attempt-id"));
+            return true;
         }
         const int first = std::atoi(request.header("last-event-id").c_str()) + 1;
         if (!connection.write("HTTP/1.1 200 OK\r\n" + answerHeaders(request) + seal
@@ -209,6 +218,15 @@
         return connection.write("0\r\n\r\n");
     }
 
+    void sendBytesAfter(const Connection& connection, Milliseconds time, const std::string& attempt)
+    {
+        pollfd it { .fd = connection.fd(), .events = POLLIN, .revents = 0 };
+        ::poll(&it, 1, static_cast<int>(time.count()));
+        constexpr std::string_view BYTES = "\x01\x02 no answer \x03\x04\r\n\r\n";
+        ::send(connection.fd(), BYTES.data(), BYTES.size(), MSG_NOSIGNAL);
+        m_record.line("bytes    that are no answer follow the answer to %s at %s", attempt.c_str(), m_options.id.c_str());
+    }
+
     const RunnerOptions m_options;
     Store& m_store;
     Runs& m_runs;
--- a/review/standins/scenario.h
+++ b/review/standins/scenario.h
@@ -61,17 +61,24 @@
     }
 
     void startRunners(const std::string& service, int n, const Work& work, int slots = 6, int queue = 24)
+    {
+        startRunners(service, n, [work](const std::string&, const Message&) { return work; }, slots, queue);
+    }
+    // `workOf` gets the id of the runner and the request.
+    void startRunners(const std::string& service, int n,
+        const std::function<Work(const std::string&, const Message&)>& workOf, int slots = 6, int queue = 24)
     {
         for (int k = 0; k < n; ++k) {
+            const std::string id = "i-" + service + "-" + std::to_string(k + 1);
             m_runners.emplace_back(
-                RunnerOptions { .id = "i-" + service + "-" + std::to_string(k + 1),
+                RunnerOptions { .id = id,
                     .service = service,
                     .zone = deployment.zones[static_cast<std::size_t>(k) % deployment.zones.size()],
                     .at = { .ip = deployment.addresses.ip(60 + static_cast<int>(m_runners.size())),
                         .port = deployment.addresses.port(50) },
                     .slots = slots,
                     .queue = queue },
-                *store, runs, record, [work](const Message&) { return work; });
+                *store, runs, record, [workOf, id](const Message& request) { return workOf(id, request); });
         }
     }
     // All runners write their entries, as they do after the store was away.
