--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,6 +1,6 @@
 #include "../standins/scenario.h"
 
-// A machine freezes for some tenths of a second, while a runner sends bytes after a whole answer.
+// A machine freezes for a second and a half, and meanwhile a runner sends bytes after a whole answer.
 using namespace review;
 
 namespace {
@@ -11,7 +11,7 @@
 constexpr Milliseconds FREEZE { 1500 };
 // Requests before each freeze, so that few answers are followed by further bytes.
 constexpr int REQUESTS_BETWEEN = 40;
-// Times after the beginning of a freeze.
+// Time after the beginning of a freeze.
 constexpr Milliseconds REQUEST_AFTER { 200 };
 // Time after the last answer before the freeze.
 constexpr Milliseconds BYTES_AFTER { 800 };
