--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr std::size_t HOSTS = 3;
+constexpr std::size_t HOSTS = 9;
 constexpr Milliseconds DEADLINE { 2500 };
 constexpr int FREEZES = 6;
 constexpr Milliseconds FREEZE { 1500 };
