--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,23 +1,99 @@
-#include "../standins/proxy.h"
 #include "../standins/scenario.h"
 
-// The machine that reads the store for all, and the one that takes over from it, are cut off from the store. The
-// operator takes a key away meanwhile.
+// Most machines of a zone are cut off from all runners and hand their requests to the one that is left there, which
+// freezes meanwhile.
 using namespace review;
 
 namespace {
 
-constexpr std::size_t HOSTS = 9;
-constexpr int CUTS = 8;
-constexpr Milliseconds CUT { 4500 };
-constexpr Milliseconds PAUSE { 4500 };
-constexpr Milliseconds APPLY_BOUND { 2000 };
+constexpr std::size_t HOSTS = 8;
+constexpr std::size_t ZONES = 3;
+// Machines of the first zone: two are cut off, one freezes.
+constexpr std::size_t CUT_OFF[] { 0, 6 };
+constexpr std::size_t FROZEN = 3;
+constexpr int TIMEOUT_MS = 800;
+constexpr Milliseconds DEADLINE { 1500 };
+constexpr Milliseconds SLACK { 500 };
+constexpr Milliseconds INTERVAL { 150 };
+constexpr Milliseconds FREEZE_AT { 1000 };
+constexpr Milliseconds CUT_AT { 1200 };
+constexpr Milliseconds CUT_UNTIL { 3000 };
+constexpr Milliseconds FREEZE_TIME { 3500 };
+constexpr Milliseconds END { 6000 };
+const std::string CUT_PREFIX = "cut";
 
 struct Sent {
     std::string attempt;
     std::size_t host = 0;
-    std::string key;
-    Clock::time_point at;
+    Answer answer;
+};
+
+// Sends requests one after the other to a host until the end, and records them.
+class Caller {
+public:
+    Caller(Scenario& scenario, std::size_t host, std::string service, std::string method, Clock::time_point end)
+        : m_scenario(scenario)
+        , m_host(host)
+        , m_service(std::move(service))
+        , m_method(std::move(method))
+        , m_prefix((std::find(std::begin(CUT_OFF), std::end(CUT_OFF), host) != std::end(CUT_OFF) ? CUT_PREFIX : "ok")
+              + "-")
+        , m_thread([this, end] { run(end); })
+    {
+    }
+    ~Caller() { m_thread.join(); }
+
+    static std::vector<Sent> takeAll()
+    {
+        const std::lock_guard lock(s_mutex);
+        return s_sent;
+    }
+
+private:
+    void run(Clock::time_point end)
+    {
+        std::vector<std::thread> open;
+        for (auto next = Clock::now(); next < end; next += INTERVAL) {
+            std::this_thread::sleep_until(next);
+            // Orders don't wait for each other; lookups do, so that they need one connection.
+            if (m_method == "POST")
+                open.emplace_back([this] { sendOne(); });
+            else
+                sendOne();
+        }
+        for (std::thread& it : open)
+            it.join();
+    }
+
+    void sendOne()
+    {
+        const std::string attempt = m_scenario.nextAttempt(m_prefix);
+        const Host& host = m_scenario.host(m_host);
+        m_scenario.record.line("sent     %s to %s", attempt.c_str(), host.name().c_str());
+        const Answer answer = send(host.frontend(),
+            { .method = m_method,
+                .target = "/" + m_service + "/x",
+                .host = HOST_NAME,
+                .attempt = attempt,
+                .deadline = DEADLINE,
+                .body = m_method == "POST" ? "order" : "" });
+        m_scenario.record.line("answered %s %d %s by %s after %ld ms", attempt.c_str(), answer.status,
+            answer.complete       ? "complete"
+                : answer.timedOut ? "client's deadline"
+                                  : "connection closed",
+            host.name().c_str(), static_cast<long>(elapsed(answer.sentAt, answer.endedAt).count()));
+        const std::lock_guard lock(s_mutex);
+        s_sent.push_back({ attempt, m_host, answer });
+    }
+
+    Scenario& m_scenario;
+    const std::size_t m_host;
+    const std::string m_service;
+    const std::string m_method;
+    const std::string m_prefix;
+    std::thread m_thread;
+    static inline std::mutex s_mutex;
+    static inline std::vector<Sent> s_sent;
 };
 
 }
@@ -25,122 +101,79 @@
 int main(int argc, char** argv)
 {
     return runCase(argc, argv, [](Scenario& it) {
-        it.addService("app");
-        it.startRunners("app", 4, { .time = Milliseconds(15) }, 12);
-        std::list<StoreProxy> proxies;
-        std::vector<StoreProxy*> proxyOf;
-        for (std::size_t n = 0; n < HOSTS; ++n) {
-            const Endpoint at { .ip = it.deployment.addresses.ip(100 + static_cast<int>(n)),
-                .port = it.deployment.addresses.port(41) };
-            proxyOf.push_back(&proxies.emplace_back(at, it.deployment.store));
-            it.deployment.storeOfHost.push_back(at);
-        }
-        std::vector<std::string> keys { "key-kept" };
-        for (int n = 0; n < CUTS; ++n)
-            keys.push_back("key-" + std::to_string(n));
-        int version = 10;
-        it.configure(version, keys);
+        it.addRoute({ .service = "orders",
+            .type = "non_idempotent",
+            .timeoutMs = TIMEOUT_MS,
+            .maxAttempts = 1,
+            .anonymous = true });
+        it.addRoute({ .service = "lookups", .timeoutMs = TIMEOUT_MS, .anonymous = true });
+        it.runnerKeepAlive = 60;
+        it.startRunners("orders", 3, Work {}, 12);
+        it.startRunners("lookups", 3, Work {}, 12);
+        it.configure(10, { "key" });
         it.startHosts(HOSTS);
         it.waitUntilReady(Milliseconds(20000));
-        it.pause(Milliseconds(6000));
+        it.pause(Milliseconds(4000));
 
-        // Who reads the store for the others: of the machines of `among`, the one with the most reads.
-        const auto reader = [&](const std::set<std::size_t>& without) {
-            std::size_t best = 0;
-            int most = -1;
-            for (std::size_t n = 0; n < HOSTS; ++n) {
-                const int reads = proxyOf[n]->takeReads();
-                if (!without.contains(n) && reads > most) {
-                    most = reads;
-                    best = n;
-                }
+        const auto begin = Clock::now();
+        {
+            std::list<Caller> callers;
+            for (const std::size_t host : CUT_OFF)
+                callers.emplace_back(it, host, "orders", "POST", begin + END);
+            for (std::size_t host = 0; host < HOSTS; ++host) {
+                if (host % ZONES != FROZEN % ZONES)
+                    callers.emplace_back(it, host, "lookups", "GET", begin + END);
             }
-            return best;
-        };
-        reader({});
-        it.pause(Milliseconds(3000));
-        const std::size_t first = reader({});
-        proxyOf[first]->setSilent(true);
-        it.pause(Milliseconds(4200));
-        reader({});
-        it.pause(Milliseconds(1000));
-        const std::size_t second = reader({ first });
-        proxyOf[first]->setSilent(false);
-        it.record.line("readers  %s, after it %s", it.host(first).name().c_str(), it.host(second).name().c_str());
-        it.pause(PAUSE);
-
-        std::mutex mutex;
-        std::vector<Sent> sent;
-        std::atomic<int> served = 0;
-        std::atomic<int> current = 0;
-        std::atomic<bool> stop = false;
-        std::vector<std::thread> clients;
-        for (std::size_t host = 0; host < HOSTS; ++host) {
-            clients.emplace_back([&, host] {
-                for (int n = 0; !stop; ++n) {
-                    const std::string key = n % 2 ? "key-kept" : "key-" + std::to_string(current);
-                    const std::string attempt = it.nextAttempt();
-                    const auto at = Clock::now();
-                    const Answer answer = send(it.host(host).frontend(),
-                        { .target = "/app/x", .host = HOST_NAME, .attempt = attempt, .key = key });
-                    it.record.line("request  %s to %s with %s: %d", attempt.c_str(), it.host(host).name().c_str(),
-                        key.c_str(), answer.status);
-                    served += answer.status == 200 ? 1 : 0;
-                    {
-                        const std::lock_guard lock(mutex);
-                        sent.push_back({ attempt, host, key, at });
-                    }
-                    Scenario::pause(Milliseconds(25));
-                }
-            });
-        }
-        std::map<std::string, Clock::time_point> takenAt;
-        for (int n = 0; n < CUTS; ++n) {
-            current = n;
-            // The cuts begin at different moments of the reads.
-            it.pause(Milliseconds(PAUSE.count() + 130 * n));
+            std::this_thread::sleep_until(begin + FREEZE_AT);
+            if (it.trouble) {
+                it.record.line("freeze   %s", it.host(FROZEN).name().c_str());
+                it.host(FROZEN).signal(SIGSTOP);
+            }
+            std::this_thread::sleep_until(begin + CUT_AT);
+            if (it.trouble) {
+                it.record.line("cut      %s and %s from all runners", it.host(CUT_OFF[0]).name().c_str(),
+                    it.host(CUT_OFF[1]).name().c_str());
+                it.cutOff(CUT_PREFIX);
+            }
+            std::this_thread::sleep_until(begin + CUT_UNTIL);
             if (it.trouble) {
-                it.record.line("cut      of %s and %s from the store begins", it.host(first).name().c_str(),
-                    it.host(second).name().c_str());
-                proxyOf[first]->setSilent(true);
-                proxyOf[second]->setSilent(true);
+                it.record.line("cut      is over");
+                it.endCut();
             }
-            it.pause(Milliseconds(100));
-            std::erase(keys, "key-" + std::to_string(n));
-            it.configure(++version, keys);
-            {
-                const std::lock_guard lock(mutex);
-                takenAt["key-" + std::to_string(n)] = Clock::now();
+            std::this_thread::sleep_until(begin + FREEZE_AT + FREEZE_TIME);
+            if (it.trouble) {
+                it.host(FROZEN).signal(SIGCONT);
+                it.record.line("freeze   is over");
             }
-            it.pause(CUT);
-            proxyOf[first]->setSilent(false);
-            proxyOf[second]->setSilent(false);
         }
-        stop = true;
-        for (std::thread& client : clients)
-            client.join();
-
-        std::map<std::string, int> late;
-        Milliseconds latest {};
-        int total = 0;
-        for (const Sent& s : sent) {
-            // The machines that were cut off aren't in touch.
-            if (s.host == first || s.host == second || !takenAt.contains(s.key) || it.runs.of(s.attempt).empty())
+        int late = 0;
+        int unanswered = 0;
+        int served = 0;
+        int ranAfterwards = 0;
+        for (const Sent& s : Caller::takeAll()) {
+            const auto open = elapsed(s.answer.sentAt, s.answer.endedAt);
+            served += s.answer.complete && s.answer.status == 200 ? 1 : 0;
+            if (open <= Milliseconds(TIMEOUT_MS))
                 continue;
-            const auto after = elapsed(takenAt[s.key], s.at);
-            if (s.at <= takenAt[s.key] + APPLY_BOUND)
+            ++late;
+            if (s.answer.complete && open <= Milliseconds(TIMEOUT_MS) + SLACK)
                 continue;
-            ++late[s.key];
-            ++total;
-            latest = std::max(latest, after);
-            it.record.line("late     %s ran at %s with %s, %ld ms after the key was taken away", s.attempt.c_str(),
-                it.host(s.host).name().c_str(), s.key.c_str(), static_cast<long>(after.count()));
+            ++unanswered;
+            it.record.line("open     %s had no answer %d ms after it was sent to %s", s.attempt.c_str(),
+                TIMEOUT_MS + static_cast<int>(SLACK.count()), it.host(s.host).name().c_str());
+            for (const Run& run : it.runs.of(s.attempt)) {
+                const auto left = elapsed(s.answer.endedAt, run.begunAt);
+                ranAfterwards += left > Milliseconds(500) ? 1 : 0;
+                it.record.line("open     %s ran at %s, %ld ms after its client had left", s.attempt.c_str(),
+                    run.runner.c_str(), static_cast<long>(left.count()));
+            }
         }
-        it.record.line("result   in %zu of %d cuts, %d requests at machines in touch ran with a key that was taken "
-                       "away over %ld ms "
-                       "before, the latest %ld ms; %d requests were served",
-            late.size(), CUTS, total, static_cast<long>(APPLY_BOUND.count()), static_cast<long>(latest.count()),
-            served.load());
-        return served < 500 ? Verdict::NotRun : total > 0 ? Verdict::Broken : Verdict::Held;
+        constexpr int MOST_UNANSWERED = 7;
+        it.record.line("result   %d requests lasted longer than %d ms; %d of them had no answer 0.5 s later, %d of these "
+                       "ran over 0.5 s after their clients had left; %d were served",
+            late, TIMEOUT_MS, unanswered, ranAfterwards, served);
+        if (served < 50)
+            return Verdict::NotRun;
+        return unanswered > MOST_UNANSWERED && 4 * unanswered > late ? Verdict::Broken : Verdict::Held;
     });
 }
--- a/review/standins/runner.h
+++ b/review/standins/runner.h
@@ -25,6 +25,8 @@
     int queue = 24;
     std::string version = "1";
     Milliseconds heartbeat { 1200 };
+    // Seconds after which an idle connection is closed, as the answers say; 0 to say nothing.
+    int keepAlive = 0;
 };
 
 struct Run {
@@ -91,6 +93,15 @@
         m_heartbeat.join();
     }
 
+    // Cuts off the callers of the requests whose ids begin with the prefix: their connections are reset, and new
+    // connections are refused. The connections of other callers go on.
+    void cutOff(const std::string& prefix)
+    {
+        m_server.setRefusing(true);
+        m_server.resetConnections(prefix);
+    }
+    void endCut() { m_server.setRefusing(false); }
+
     // Writes its entry in the store at once.
     void registerNow()
     {
@@ -116,7 +127,8 @@
     {
         return "X-Attempt-Id: " + request.header("x-attempt-id") + "\r\nX-Instance-Id: " + m_options.id
             + "\r\nX-Instance-Load: " + std::to_string(m_running) + "," + std::to_string(m_waiting) + ","
-            + std::to_string(m_options.slots) + "\r\n";
+            + std::to_string(m_options.slots) + "\r\n"
+            + (m_options.keepAlive > 0 ? "Keep-Alive: timeout=" + std::to_string(m_options.keepAlive) + "\r\n" : "");
     }
 
     bool serve(Connection& connection, const Message& request)
@@ -124,6 +136,7 @@
         if (request.path() == "/healthz")
             return connection.write(plainAnswer(200, answerHeaders(request), ""));
         const std::string attempt = request.header("x-attempt-id");
+        connection.setLabel(attempt.substr(0, attempt.find('-')));
         const std::string expected = request.header("x-expect-instance");
         if (!expected.empty() && expected != m_options.id)
             return connection.write(plainAnswer(421, answerHeaders(request), ""));
--- a/review/standins/scenario.h
+++ b/review/standins/scenario.h
@@ -77,10 +77,22 @@
                                        .at = { .ip = deployment.addresses.ip(60 + static_cast<int>(m_runners.size())),
                                            .port = deployment.addresses.port(50) },
                                        .slots = slots,
-                                       .queue = queue },
+                                       .queue = queue,
+                                       .keepAlive = runnerKeepAlive },
                 *store, runs, record, [workOf, id](const Message& request) { return workOf(id, request); });
         }
     }
+    // Cuts the callers whose requests have ids with this prefix off from all runners.
+    void cutOff(const std::string& prefix)
+    {
+        for (Runner& it : m_runners)
+            it.cutOff(prefix);
+    }
+    void endCut()
+    {
+        for (Runner& it : m_runners)
+            it.endCut();
+    }
     // All runners write their entries, as they do after the store was away.
     void registerRunners()
     {
@@ -112,11 +124,11 @@
     }
 
     static void pause(Milliseconds time) { std::this_thread::sleep_for(time); }
-    std::string nextAttempt()
+    std::string nextAttempt(const std::string& prefix = "a")
     {
         char text[32];
-        std::snprintf(text, sizeof(text), "a%06d", ++m_attempts);
-        return text;
+        std::snprintf(text, sizeof(text), "%06d", ++m_attempts);
+        return prefix + text;
     }
 
     Record record;
@@ -124,6 +136,8 @@
     Deployment deployment;
     Runs runs;
     std::unique_ptr<Store> store;
+    // What runners that are started from now on say of their idle connections, in seconds; 0 for nothing.
+    int runnerKeepAlive = 0;
 
 private:
     std::vector<Route> m_routes;
