--- a/review/standins/runner.h
+++ b/review/standins/runner.h
@@ -33,6 +33,8 @@
     std::string attempt;
     std::string runner;
     Clock::time_point begunAt;
+    Clock::time_point arrivedAt;
+    std::string tenant;
 };
 
 // What reached all runners of a case, and what they ran.
@@ -142,6 +144,7 @@
             return connection.write(plainAnswer(421, answerHeaders(request), ""));
         if (attempt.empty())
             return connection.write(plainAnswer(400, answerHeaders(request) + "X-Not-Executed: 1\r\n", ""));
+        const auto arrivedAt = Clock::now();
         m_runs.onArrival(attempt);
         m_record.line("arrives  %s at %s", attempt.c_str(), m_options.id.c_str());
         const auto deadline = Clock::now() + Milliseconds(std::stol("0" + request.header("x-deadline-ms")));
@@ -153,7 +156,10 @@
         case Slot::Taken:
             break;
         }
-        m_runs.add({ .attempt = attempt, .runner = m_options.id, .begunAt = Clock::now() });
+        m_runs.add({ .attempt = attempt, .runner = m_options.id,
+            .begunAt = Clock::now(),
+            .arrivedAt = arrivedAt,
+            .tenant = request.header("x-tenant") });
         m_record.line("run      %s begins at %s, tenant %s", attempt.c_str(), m_options.id.c_str(),
             request.header("x-tenant").c_str());
         const bool goesOn = run(connection, request, deadline);
--- a/review/standins/scenario.h
+++ b/review/standins/scenario.h
@@ -40,8 +40,13 @@
     void addService(const std::string& name) { addRoute({ .service = name }); }
 
     // The operator writes a configuration, in which one tenant has these keys.
-    void configure(int version, const std::vector<std::string>& keys)
+    void configure(int version, const std::vector<std::string>& keys) { configure(version, { { "tenant-1", keys } }); }
+    // The operator writes a configuration with these tenants and their keys.
+    void configure(int version, const std::map<std::string, std::vector<std::string>>& keysOfTenants)
     {
+        nlohmann::json tenants = nlohmann::json::array();
+        for (const auto& [name, keys] : keysOfTenants)
+            tenants.push_back({ { "name", name }, { "api_keys", keys } });
         nlohmann::json routes = nlohmann::json::array();
         nlohmann::json services = nlohmann::json::array();
         for (const Route& it : m_routes) {
@@ -52,7 +57,7 @@
             services.push_back({ { "name", it.service }, { "max_connections", 370 }, { "health_path", "/healthz" } });
         }
         const nlohmann::json document { { "version", version }, { "routes", routes }, { "services", services },
-            { "tenants", { { { "name", "tenant-1" }, { "api_keys", keys } } } },
+            { "tenants", tenants },
             { "limits",
                 { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 5000 },
                     { "idle_timeout_ms", 30000 } } } };
