--- a/review/standins/host.h
+++ b/review/standins/host.h
@@ -55,8 +55,6 @@
     std::vector<std::string> zones { "zone-a", "zone-b", "zone-c" };
     std::string folder;
     Endpoint store;
-    // Address of the store as each host knows it, where it isn't the same for all.
-    std::vector<Endpoint> storeOfHost;
     // Where the output of the processes goes.
     std::string logFolder;
     // Loopback address of each host.
@@ -172,9 +170,7 @@
             << "bounds.exposure_slack=30\nbounds.rollback_ms=5000\nbounds.warmup_overshoot=1.5\n"
             << "bounds.warmup_slack=5\nbounds.evacuate_ms=5000\nbounds.recovery_s=12\nbounds.iteration_ms=120\n"
             << "bounds.reuse_window_s=10\nbounds.session_s=5\nbounds.ttl_max_s=5\n"
-            << "platform.address="
-            << (m_deployment.storeOfHost.empty() ? m_deployment.store : m_deployment.storeOfHost[m_number]).text()
-            << "\nplatform.form=log\nplatform.writes_per_s=400\n"
+            << "platform.address=" << m_deployment.store.text() << "\nplatform.form=log\nplatform.writes_per_s=400\n"
             << "platform.reads_per_s=2000\nplatform.parts=12\nplatform.append_ms=2.0\n"
             << "platform.part_mb_per_s=20.0\nplatform.read_mb_per_s=80.0\nplatform.record_bytes=262144\n"
             << "platform.call_bytes=2097152\nplatform.keep_s=20\nplatform.part_mb=200\nplatform.ttl_min_ms=1000\n";
