--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -36,8 +36,8 @@
         , m_host(host)
         , m_service(std::move(service))
         , m_method(std::move(method))
-        , m_prefix((std::find(std::begin(CUT_OFF), std::end(CUT_OFF), host) != std::end(CUT_OFF) ? CUT_PREFIX : "ok")
-              + "-")
+        , m_prefix(
+              (std::find(std::begin(CUT_OFF), std::end(CUT_OFF), host) != std::end(CUT_OFF) ? CUT_PREFIX : "ok") + "-")
         , m_thread([this, end] { run(end); })
     {
     }
@@ -169,8 +169,9 @@
             }
         }
         constexpr int MOST_UNANSWERED = 7;
-        it.record.line("result   %d requests lasted longer than %d ms; %d of them had no answer 0.5 s later, %d of these "
-                       "ran over 0.5 s after their clients had left; %d were served",
+        it.record.line(
+            "result   %d requests lasted longer than %d ms; %d of them had no answer 0.5 s later, %d of these "
+            "ran over 0.5 s after their clients had left; %d were served",
             late, TIMEOUT_MS, unanswered, ranAfterwards, served);
         if (served < 50)
             return Verdict::NotRun;
--- a/review/standins/runner.h
+++ b/review/standins/runner.h
@@ -156,7 +156,8 @@
         case Slot::Taken:
             break;
         }
-        m_runs.add({ .attempt = attempt, .runner = m_options.id,
+        m_runs.add({ .attempt = attempt,
+            .runner = m_options.id,
             .begunAt = Clock::now(),
             .arrivedAt = arrivedAt,
             .tenant = request.header("x-tenant") });
