--- a/review/standins/host.h
+++ b/review/standins/host.h
@@ -30,13 +30,13 @@
     int port(int n) const { return m_firstPort + n; }
 
 private:
-    // Whether nothing on this machine uses any of the ports.
+    // Whether nothing uses any of the ports here, or on all addresses of this machine.
     bool arePortsFree() const
     {
         constexpr int PORTS = 60;
         for (int n = 0; n < PORTS; ++n) {
             const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-            const sockaddr_in address = Endpoint { .ip = "0.0.0.0", .port = m_firstPort + n }.address();
+            const sockaddr_in address = Endpoint { .ip = ip(1), .port = port(n) }.address();
             const bool isFree = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
             ::close(fd);
             if (!isFree)
