--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -139,20 +139,20 @@
             onValue(*outcome.value, now);
         advance(feed);
     };
-    const auto onPage = [this, alive = m_alive, &feed, finish, fromStore](const auto& outcome) {
+    const auto onPage = [this, alive = m_alive, &feed, finish, source](const auto& outcome) {
         if (!*alive)
             return;
         finish(outcome, [&](const store::SnapshotPage& page, TimePoint now) {
-            onReadSucceeded(feed, fromStore);
+            onReadSucceeded(feed, { .host = source, .age = page.sourceAge });
             if (auto update = feed.state.onPage(page, now))
                 applyUpdate(feed, std::move(*update));
         });
     };
-    const auto onBatch = [this, alive = m_alive, &feed, finish, fromStore](const auto& outcome) {
+    const auto onBatch = [this, alive = m_alive, &feed, finish, source](const auto& outcome) {
         if (!*alive)
             return;
         finish(outcome, [&](const store::RecordBatch& batch, TimePoint now) {
-            onReadSucceeded(feed, fromStore);
+            onReadSucceeded(feed, { .host = source, .age = batch.sourceAge });
             applyUpdate(feed, feed.state.onRecords(batch, now));
         });
     };
@@ -167,10 +167,11 @@
              : m_relayClient.read(host, feed.topic, request.offset, request.wait, onBatch);
 }
 
-void CatalogSync::onReadSucceeded(Feed& feed, bool fromStore)
+void CatalogSync::onReadSucceeded(Feed& feed, ReadOrigin origin)
 {
     feed.failedSince = feed.state.failingSince();
-    if (!fromStore)
+    feed.origin = std::move(origin);
+    if (feed.origin.host)
         return;
     m_sourceSelector.onStoreRead(true, m_context.clock.now());
     if (std::exchange(m_storeLost, false))
@@ -188,8 +189,10 @@
     }
     const fleet::HostTable* hosts = m_context.hosts();
     if (source) {
+        const auto confirmed = feed.state.confirmedAt();
         telemetry::logEvent(spdlog::level::info, "relay_lost",
-            { { "topic", topicName(feed.topic) }, { "from", source->value() }, { "reason", reason } });
+            { { "topic", topicName(feed.topic) }, { "from", source->value() }, { "reason", reason },
+                { "confirmed_ms_ago", confirmed ? (now - *confirmed).count() : -1 } });
         m_sourceSelector.onPeerFailed(*hosts, *source, now);
         if (m_sourceSelector.source(*hosts, now) != source)
             feed.state.scheduleNow(now);
@@ -234,24 +237,29 @@
     if (feed.topic == store::Topic::Upstreams)
         return applyUpstreamRecord(record);
     if (feed.topic == store::Topic::Operator)
-        applyOperatorRecord(record);
+        applyOperatorRecord(feed, record);
     else if (const auto status = m_context.codec.decodeRolloutStatus(record))
         m_context.listener.onRolloutStatus(*status);
     return true;
 }
 
-void CatalogSync::applyOperatorRecord(const store::KeyedRecord& record)
+void CatalogSync::applyConfiguration(const Feed& feed, catalog::Configuration configuration)
+{
+    catalog::Catalog& catalog = m_context.catalog;
+    if (catalog.onConfiguration(std::move(configuration)) != catalog::ConfigurationChange::Applied)
+        return;
+    telemetry::logEvent(spdlog::level::info, "configuration_applied",
+        { { "configuration", catalog.version().value() }, { "routes", catalog.routes().size() },
+            { "from", feed.origin.name() }, { "source_age_ms", feed.origin.age.count() } });
+    m_context.listener.onConfiguration();
+}
+
+void CatalogSync::applyOperatorRecord(const Feed& feed, const store::KeyedRecord& record)
 {
     const TimePoint now = m_context.clock.now();
     catalog::Catalog& catalog = m_context.catalog;
     std::visit(Overloaded {
-                   [&](catalog::Configuration&& it) {
-                       if (catalog.onConfiguration(std::move(it)) != catalog::ConfigurationChange::Applied)
-                           return;
-                       telemetry::logEvent(spdlog::level::info, "configuration_applied",
-                           { { "configuration", catalog.version().value() }, { "routes", catalog.routes().size() } });
-                       m_context.listener.onConfiguration();
-                   },
+                   [&](catalog::Configuration&& it) { applyConfiguration(feed, std::move(it)); },
                    [&](catalog::RolloutOrder&& it) {
                        catalog.onRollout(it, now);
                        m_context.listener.onRolloutOrder(it);
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -58,6 +58,15 @@
     bool reachesStore() const { return m_sourceSelector.reachesStore(); }
 
 private:
+    // The source of a read that has succeeded, and the age of its data.
+    struct ReadOrigin {
+        // No value for the store itself.
+        std::optional<HostId> host;
+        Duration age {};
+
+        std::string name() const { return host ? host->value() : "store"; }
+    };
+
     struct Feed {
         store::Topic topic;
         store::KeyedFeed state;
@@ -65,6 +74,8 @@
         std::set<std::string> keys;
         // When the reads before the last successful one began to fail; no value if the preceding read succeeded.
         std::optional<TimePoint> failedSince;
+        // Where the records that are being applied come from, for the log.
+        ReadOrigin origin;
     };
 
     void advance(Feed& feed);
@@ -75,11 +86,12 @@
     void request(Feed& feed, const store::FeedRequest& request, const std::optional<HostId>& source);
     void onReadFailed(
         Feed& feed, const std::optional<HostId>& source, store::StoreError error, const std::string& reason);
-    void onReadSucceeded(Feed& feed, bool fromStore);
+    void onReadSucceeded(Feed& feed, ReadOrigin origin);
     void applyUpdate(Feed& feed, store::FeedUpdate update);
     // Returns whether the record may have changed anything.
     bool applyRecord(Feed& feed, const store::KeyedRecord& record);
-    void applyOperatorRecord(const store::KeyedRecord& record);
+    void applyOperatorRecord(const Feed& feed, const store::KeyedRecord& record);
+    void applyConfiguration(const Feed& feed, catalog::Configuration configuration);
     bool applyUpstreamRecord(const store::KeyedRecord& record);
     bool isAfterOutage(const Feed& feed) const;
     std::optional<TimePoint> confirmedAt(store::Topic topic) const;
