Store restored from a copy: offsets belong to an era, and a copy takes nothing back

Cause: offsets go back with the copy and are given out again. A follower asked its source for records from its offset of before and got 'nothing newer', which it took for a confirmation (RelayLog::read, KeyedFeed::onRecords). Nothing read Store-Era. Class: positions of two histories compared as numbers. Statuses of roll-outs and the host's own address are written again.

--- a/include/fireflyhaven/rollout/rolloutcontroller.h
+++ b/include/fireflyhaven/rollout/rolloutcontroller.h
@@ -116,6 +116,8 @@
     void onWithdrawn(const ServiceName& service);
     // Called with each roll-out status that is read from or written to the store.
     void onStatus(const catalog::RolloutStatus& status);
+    // The store may have lost the statuses that were written: they are written again where it has.
+    void onStatusesLost();
     // Called when an upstream of this version is registered or changes.
     void onVersionSeen(const ServiceName& service, const catalog::SoftwareVersion& version, TimePoint now);
     void onCapacity(const ServiceName& service, const VersionCapacity& capacity);
--- a/include/fireflyhaven/store/relaylog.h
+++ b/include/fireflyhaven/store/relaylog.h
@@ -14,10 +14,12 @@
     explicit RelayLog(std::size_t maxRecords = 4096);
 
     // `isChange` holds for each record of the update whether it changes anything; other records are left out of the
-    // tail.
-    void onUpdate(const FeedUpdate& update, const std::vector<bool>& isChange, std::uint64_t nextOffset);
-    // No value where records after the offset have already been dropped from the tail, or before the first snapshot.
-    std::optional<RecordBatch> read(std::uint64_t offset) const;
+    // tail. The offset is one of the era. A restored update adds its records to what is held.
+    void onUpdate(const FeedUpdate& update, const std::vector<bool>& isChange, std::uint64_t nextOffset,
+        std::optional<Era> era = std::nullopt);
+    // No value where records after the offset have already been dropped from the tail, where the offset is one of
+    // another era, or before the first snapshot.
+    std::optional<RecordBatch> read(std::uint64_t offset, std::optional<Era> era = std::nullopt) const;
     std::optional<SnapshotPage> newest() const;
     std::uint64_t nextOffset() const { return m_nextOffset; }
 
@@ -35,6 +37,7 @@
     // Records before this offset have been dropped from the tail.
     std::uint64_t m_firstOffset = 0;
     std::uint64_t m_nextOffset = 0;
+    std::optional<Era> m_era;
 };
 
 }
--- a/include/fireflyhaven/store/types/records.h
+++ b/include/fireflyhaven/store/types/records.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fireflyhaven/common/clock.h"
+#include "fireflyhaven/common/types/strongid.h"
 
 #include <cstdint>
 #include <optional>
@@ -21,6 +22,10 @@
     Hosts,
 };
 
+// How often the store has come back from an older copy of itself. An offset belongs to its era: after a restoration the
+// store gives the same offsets to other records, so that offsets of different eras are never compared.
+using Era = StrongNumber<struct EraTag>;
+
 struct KeyedRecord {
     std::string key;
     // No value where the key was deleted.
@@ -33,6 +38,10 @@
 struct RecordBatch {
     std::vector<KeyedRecord> records;
     std::uint64_t nextOffset = 0;
+    // Era of the offset; no value where the source does not tell it.
+    std::optional<Era> era {};
+    // The source is a host that does not know yet whether what the store has lost was written again.
+    bool isRestoring = false;
     // Age of the data at the source that answered; zero for the store itself.
     Duration sourceAge {};
     // Lower bound of the time for which the source held the request before it answered; zero where it is not reported.
@@ -43,6 +52,9 @@
 struct SnapshotPage {
     std::vector<KeyedRecord> records;
     std::uint64_t endOffset = 0;
+    // As in `RecordBatch`.
+    std::optional<Era> era {};
+    bool isRestoring = false;
     // Where set, the next page begins after this key.
     std::optional<std::string> continueAfter;
     Duration sourceAge {};
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -37,7 +37,7 @@
 
 CatalogSync::CatalogSync(CatalogSyncContext context)
     : m_context(std::move(context))
-    , m_relayServer(m_context.loop, m_context.clock, [this](store::Topic topic) { return confirmedAt(topic); })
+    , m_relayServer(m_context.loop, m_context.clock, [this](store::Topic topic) { return feedOf(topic); })
     , m_relayClient(m_context.loop, m_context.clock)
     , m_operatorFeed { .topic = store::Topic::Operator,
         .state = store::KeyedFeed({}),
@@ -64,13 +64,13 @@
     advance(m_upstreamFeed);
 }
 
-std::optional<TimePoint> CatalogSync::confirmedAt(store::Topic topic) const
+const store::KeyedFeed* CatalogSync::feedOf(store::Topic topic) const
 {
     for (const Feed* feed : { &m_operatorFeed, &m_upstreamFeed, &m_statusFeed }) {
         if (feed->topic == topic)
-            return feed->state.confirmedAt();
+            return &feed->state;
     }
-    return std::nullopt;
+    return nullptr;
 }
 
 void CatalogSync::tick(TimePoint now)
@@ -132,7 +132,10 @@
         const TimePoint now = m_context.clock.now();
         const bool stale
             = outcome.value && outcome.value->sourceAge > readTiming().maxSourceAge(feed.topic, readsOverTwoHops());
-        if (!outcome.value || stale)
+        const bool behind = outcome.value && feed.state.isBehind(outcome.value->era);
+        if (behind)
+            onReadFailed(feed, source, store::StoreError::NotExecuted, "the source is in an earlier era of the store");
+        else if (!outcome.value || stale)
             onReadFailed(feed, source, outcome.value ? store::StoreError::NotExecuted : outcome.error,
                 stale ? "data of the source host is too old" : outcome.reason);
         else
@@ -164,7 +167,7 @@
     }
     const http::Endpoint host = m_context.hosts()->hosts().at(*source).peerAddress;
     snapshot ? m_relayClient.readNewest(host, feed.topic, onPage)
-             : m_relayClient.read(host, feed.topic, request.offset, request.wait, onBatch);
+             : m_relayClient.read(host, feed.topic, request, onBatch);
 }
 
 void CatalogSync::onReadSucceeded(Feed& feed, ReadOrigin origin)
@@ -209,15 +212,11 @@
 
 void CatalogSync::applyUpdate(Feed& feed, store::FeedUpdate update)
 {
-    if (update.replacesAll) {
-        const std::set<std::string> before = std::exchange(feed.keys, {});
-        std::set<std::string> present;
-        for (const store::KeyedRecord& it : update.records)
-            present.insert(it.key);
-        for (const std::string& key : before) {
-            if (!present.contains(key))
-                applyRecord(feed, { .key = key, .value = std::nullopt, .mayReappear = isAfterOutage(feed) });
-        }
+    if (update.isRestored) {
+        keepNewerThan(feed, update);
+    } else if (update.replacesAll) {
+        for (const std::string& key : feed.keys.missingFrom(update.records))
+            applyRecord(feed, { .key = key, .value = std::nullopt, .mayReappear = isAfterOutage(feed) });
     }
     std::vector<bool> significant;
     const bool afterOutage = isAfterOutage(feed);
@@ -225,15 +224,46 @@
         it.mayReappear = it.mayReappear || (!it.value && afterOutage);
         significant.push_back(applyRecord(feed, it));
     }
-    m_relayServer.onUpdate(feed.topic, update, significant, feed.state.offset());
+    m_relayServer.onUpdate(feed.topic, update, significant);
+}
+
+void CatalogSync::keepNewerThan(Feed& feed, store::FeedUpdate& copy)
+{
+    const std::vector<std::string> missing = feed.keys.missingFrom(copy.records);
+    const std::size_t read = copy.records.size();
+    std::erase_if(copy.records, [&](const store::KeyedRecord& it) { return !isNewer(feed, it); });
+    telemetry::logEvent(spdlog::level::warn, "store_restored",
+        { { "topic", topicName(feed.topic) }, { "era", feed.state.era()->value() }, { "from", feed.origin.name() },
+            { "records", read }, { "kept_newer", read - copy.records.size() }, { "kept_missing", missing.size() } });
+    // The registration of an upstream that is missing is written again soon, or the upstream is gone.
+    if (feed.topic == store::Topic::Upstreams) {
+        for (const std::string& key : missing)
+            copy.records.push_back({ .key = key, .value = std::nullopt, .mayReappear = true });
+    }
+    if (feed.topic == store::Topic::Status)
+        m_context.listener.onStoreRestored();
+}
+
+bool CatalogSync::isNewer(const Feed& feed, const store::KeyedRecord& record) const
+{
+    if (!feed.keys.contains(record.key))
+        return feed.keys.isUnknown(record.key);
+    if (feed.topic == store::Topic::Upstreams) {
+        const auto report = m_context.codec.decodeUpstreamRecord(record);
+        const catalog::UpstreamState* known = m_context.catalog.upstream(UpstreamId(record.key));
+        return report && (!known || report->startedAtMs > known->upstream.startedAtMs);
+    }
+    if (feed.topic != store::Topic::Operator)
+        return false;
+    // Configurations are ordered by their versions; other records of the operator are not.
+    const catalog::OperatorChange change = m_context.codec.decodeOperatorRecord(record);
+    const auto* configuration = std::get_if<catalog::Configuration>(&change);
+    return configuration && configuration->version >= m_context.catalog.version();
 }
 
 bool CatalogSync::applyRecord(Feed& feed, const store::KeyedRecord& record)
 {
-    if (record.value)
-        feed.keys.insert(record.key);
-    else
-        feed.keys.erase(record.key);
+    feed.keys.onRecord(record, m_context.clock.now());
     if (feed.topic == store::Topic::Upstreams)
         return applyUpstreamRecord(record);
     if (feed.topic == store::Topic::Operator)
@@ -243,9 +273,11 @@
     return true;
 }
 
-void CatalogSync::applyConfiguration(const Feed& feed, catalog::Configuration configuration)
+void CatalogSync::applyConfiguration(Feed& feed, catalog::Configuration configuration)
 {
     catalog::Catalog& catalog = m_context.catalog;
+    if (configuration.version >= catalog.version())
+        feed.state.onWrittenAgain();
     if (catalog.onConfiguration(std::move(configuration)) != catalog::ConfigurationChange::Applied)
         return;
     telemetry::logEvent(spdlog::level::info, "configuration_applied",
@@ -254,7 +286,7 @@
     m_context.listener.onConfiguration();
 }
 
-void CatalogSync::applyOperatorRecord(const Feed& feed, const store::KeyedRecord& record)
+void CatalogSync::applyOperatorRecord(Feed& feed, const store::KeyedRecord& record)
 {
     const TimePoint now = m_context.clock.now();
     catalog::Catalog& catalog = m_context.catalog;
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -4,13 +4,12 @@
 #include "fireflyhaven/entry/types/settings.h"
 #include "fireflyhaven/entry/wirecodec.h"
 #include "fireflyhaven/store/keyedfeed.h"
+#include "fireflyhaven/store/knownkeys.h"
 #include "fireflyhaven/store/readsourceselector.h"
 #include "fireflyhaven/store/readtiming.h"
 #include "fireflyhaven/store/recordstore.h"
 #include "peerrelay.h"
 
-#include <set>
-
 namespace fireflyhaven::entry {
 
 // Receives the changes that follow from the store's records.
@@ -21,6 +20,8 @@
     virtual void onRolloutOrder(const catalog::RolloutOrder& order) = 0;
     virtual void onRolloutWithdrawn(const ServiceName& service) = 0;
     virtual void onRolloutStatus(const catalog::RolloutStatus& status) = 0;
+    // The store has come back from an older copy, and may have lost what this system wrote.
+    virtual void onStoreRestored() = 0;
     // Called if a registration changed an upstream; `newIncarnation` is set for a new or restarted upstream.
     virtual void onUpstreamChanged(const catalog::Upstream& upstream, bool newIncarnation) = 0;
     virtual void onUpstreamGone(const UpstreamId& id) = 0;
@@ -56,6 +57,8 @@
     std::optional<TimePoint> operatorConfirmedAt() const { return m_operatorFeed.state.confirmedAt(); }
     bool operatorReadsFail() const { return m_operatorFeed.state.failingSince().has_value(); }
     bool reachesStore() const { return m_sourceSelector.reachesStore(); }
+    // Era of the store that the operator's records were read in; no value where the store does not tell it.
+    std::optional<store::Era> storeEra() const { return m_operatorFeed.state.era(); }
 
 private:
     // The source of a read that has succeeded, and the age of its data.
@@ -71,7 +74,7 @@
         store::Topic topic;
         store::KeyedFeed state;
         boost::asio::steady_timer timer;
-        std::set<std::string> keys;
+        store::KnownKeys keys;
         // When the reads before the last successful one began to fail; no value if the preceding read succeeded.
         std::optional<TimePoint> failedSince;
         // Where the records that are being applied come from, for the log.
@@ -88,13 +91,18 @@
         Feed& feed, const std::optional<HostId>& source, store::StoreError error, const std::string& reason);
     void onReadSucceeded(Feed& feed, ReadOrigin origin);
     void applyUpdate(Feed& feed, store::FeedUpdate update);
+    // Prepares the first snapshot of a new era: leaves out the records of the copy that this host has newer, and keeps
+    // what the copy lacks.
+    void keepNewerThan(Feed& feed, store::FeedUpdate& copy);
+    // Whether a record of the copy is newer than what this host knows of its key.
+    bool isNewer(const Feed& feed, const store::KeyedRecord& record) const;
     // Returns whether the record may have changed anything.
     bool applyRecord(Feed& feed, const store::KeyedRecord& record);
-    void applyOperatorRecord(const Feed& feed, const store::KeyedRecord& record);
-    void applyConfiguration(const Feed& feed, catalog::Configuration configuration);
+    void applyOperatorRecord(Feed& feed, const store::KeyedRecord& record);
+    void applyConfiguration(Feed& feed, catalog::Configuration configuration);
     bool applyUpstreamRecord(const store::KeyedRecord& record);
     bool isAfterOutage(const Feed& feed) const;
-    std::optional<TimePoint> confirmedAt(store::Topic topic) const;
+    const store::KeyedFeed* feedOf(store::Topic topic) const;
 
     CatalogSyncContext m_context;
     store::ReadSourceSelector m_sourceSelector;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -268,6 +268,11 @@
     }
     void onRolloutWithdrawn(const ServiceName& service) override { m_rollouts.onWithdrawn(service); }
     void onRolloutStatus(const catalog::RolloutStatus& status) override { m_rollouts.onStatus(status); }
+    void onStoreRestored() override
+    {
+        m_rollouts.onStatusesLost();
+        m_fleetLink.onStoreRestored();
+    }
     void onUpstreamChanged(const catalog::Upstream& upstream, bool newIncarnation) override
     {
         if (newIncarnation)
--- a/src/entry/internal/fleetlink.cpp
+++ b/src/entry/internal/fleetlink.cpp
@@ -185,6 +185,12 @@
     runAfter(m_storeTimer, REGISTRATION_CHECK_INTERVAL, [this] { checkRegistration(); });
 }
 
+void FleetLink::onStoreRestored()
+{
+    m_registered = false;
+    runAfter(m_storeTimer, STORE_RETRY_DELAY, [this] { checkRegistration(); });
+}
+
 void FleetLink::registerHost()
 {
     const http::Endpoint own { .ip = m_settings.frontend.ip, .port = m_settings.firstPeerPort };
--- a/src/entry/internal/fleetlink.h
+++ b/src/entry/internal/fleetlink.h
@@ -27,6 +27,8 @@
     Result<void> open();
     // Sends a report outside the regular interval, for changes that should not be delayed.
     void reportNow();
+    // The store has come back from an older copy, and may have lost this host's record.
+    void onStoreRestored();
     // The same for the evidence against parts of prompts.
     void sendPoisonNotices();
     void send(const std::vector<fleet::Datagram>& datagrams);
--- a/src/entry/internal/peerrelay.cpp
+++ b/src/entry/internal/peerrelay.cpp
@@ -37,8 +37,14 @@
     std::uint32_t ageMs = 0;
     // Time that the request waited for new records.
     std::uint32_t heldMs = 0;
+    // Not in the answers of older builds, which end before it.
+    std::optional<std::uint64_t> era;
+    bool isRestoring = false;
 
     template <typename Archive> void serialize(Archive& archive) { archive(offset, ageMs, heldMs, records); }
+    template <typename Archive> void serializeEra(Archive& archive) { archive(era, isRestoring); }
+
+    std::optional<store::Era> storeEra() const { return era ? std::optional(store::Era(*era)) : std::nullopt; }
 };
 
 std::string encode(const RelayAnswer& answer)
@@ -47,6 +53,7 @@
     {
         cereal::PortableBinaryOutputArchive archive(out);
         archive(answer);
+        RelayAnswer(answer).serializeEra(archive);
     }
     return std::move(out).str();
 }
@@ -58,6 +65,8 @@
         cereal::PortableBinaryInputArchive archive(in);
         RelayAnswer answer;
         archive(answer);
+        if (in.peek() != std::istringstream::traits_type::eof())
+            answer.serializeEra(archive);
         return answer;
     } catch (const std::exception&) {
         return std::nullopt;
@@ -77,12 +86,24 @@
     return static_cast<store::Topic>(*n);
 }
 
+// Not in the requests of older builds.
+std::optional<store::Era> eraParameter(const std::string& target)
+{
+    const auto n = numberParameter(target, "era");
+    return n ? std::optional(store::Era(*n)) : std::nullopt;
+}
+
+std::optional<std::uint64_t> numberOf(std::optional<store::Era> era)
+{
+    return era ? std::optional(era->value()) : std::nullopt;
+}
+
 }
 
-RelayServer::RelayServer(boost::asio::io_context& loop, const IClock& clock, ConfirmedAt confirmedAt)
+RelayServer::RelayServer(boost::asio::io_context& loop, const IClock& clock, FeedOf feedOf)
     : m_loop(loop)
     , m_clock(clock)
-    , m_confirmedAt(std::move(confirmedAt))
+    , m_feedOf(std::move(feedOf))
     , m_timer(loop)
 {
 }
@@ -95,10 +116,10 @@
     return {};
 }
 
-void RelayServer::onUpdate(
-    store::Topic topic, const store::FeedUpdate& update, const std::vector<bool>& significant, std::uint64_t nextOffset)
+void RelayServer::onUpdate(store::Topic topic, const store::FeedUpdate& update, const std::vector<bool>& significant)
 {
-    m_logs[topic].onUpdate(update, significant, nextOffset);
+    const store::KeyedFeed& feed = *m_feedOf(topic);
+    m_logs[topic].onUpdate(update, significant, feed.offset(), feed.era());
     answerPendingReads();
 }
 
@@ -115,6 +136,7 @@
     const PendingRead pending { .exchange = std::move(exchange),
         .topic = *topic,
         .offset = numberParameter(target, "from").value_or(0),
+        .era = eraParameter(target),
         .receivedAt = m_clock.now(),
         .deadline = m_clock.now() + wait };
     if (wait == Duration(0) || isAnswerReady(pending))
@@ -128,7 +150,7 @@
     const auto it = m_logs.find(pending.topic);
     if (it == m_logs.end())
         return true;
-    const auto batch = it->second.read(pending.offset);
+    const auto batch = it->second.read(pending.offset, pending.era);
     return !batch || !batch->records.empty();
 }
 
@@ -157,19 +179,28 @@
 Duration RelayServer::age(store::Topic topic) const
 {
     constexpr Duration UNKNOWN_AGE { 3'600'000 };
-    const auto confirmed = m_confirmedAt(topic);
-    return confirmed ? m_clock.now() - *confirmed : UNKNOWN_AGE;
+    const store::KeyedFeed* feed = m_feedOf(topic);
+    const auto current = feed ? feed->currentAt() : std::nullopt;
+    return current ? m_clock.now() - *current : UNKNOWN_AGE;
+}
+
+bool RelayServer::isRestoring(store::Topic topic) const
+{
+    const store::KeyedFeed* feed = m_feedOf(topic);
+    return feed && feed->isRestoring();
 }
 
 void RelayServer::answerRead(const PendingRead& pending)
 {
-    const auto batch = m_logs[pending.topic].read(pending.offset);
+    const auto batch = m_logs[pending.topic].read(pending.offset, pending.era);
     if (!batch)
         return pending.exchange->sendResponse({ .status = STATUS_GONE }, {});
     const RelayAnswer answer { .records = batch->records,
         .offset = batch->nextOffset,
         .ageMs = static_cast<std::uint32_t>(age(pending.topic).count()),
-        .heldMs = static_cast<std::uint32_t>((m_clock.now() - pending.receivedAt).count()) };
+        .heldMs = static_cast<std::uint32_t>((m_clock.now() - pending.receivedAt).count()),
+        .era = numberOf(batch->era),
+        .isRestoring = isRestoring(pending.topic) };
     pending.exchange->sendResponse({ .status = STATUS_OK }, encode(answer));
 }
 
@@ -178,9 +209,11 @@
     const auto page = m_logs[topic].newest();
     if (!page)
         return exchange.sendResponse({ .status = STATUS_UNAVAILABLE }, {});
-    const RelayAnswer answer {
-        .records = page->records, .offset = page->endOffset, .ageMs = static_cast<std::uint32_t>(age(topic).count())
-    };
+    const RelayAnswer answer { .records = page->records,
+        .offset = page->endOffset,
+        .ageMs = static_cast<std::uint32_t>(age(topic).count()),
+        .era = numberOf(page->era),
+        .isRestoring = isRestoring(topic) };
     exchange.sendResponse({ .status = STATUS_OK }, encode(answer));
 }
 
@@ -264,11 +297,14 @@
     (*position)->start(*m_client, host, std::move(target), timeout);
 }
 
-void RelayClient::read(const http::Endpoint& host, store::Topic topic, std::uint64_t offset, Duration wait,
+void RelayClient::read(const http::Endpoint& host, store::Topic topic, const store::FeedRequest& request,
     store::OnOutcome<store::RecordBatch> done)
 {
+    const Duration wait = request.wait;
     std::string target
-        = fmt::format("{}?topic={}&from={}&wait={}", READ_PATH, static_cast<int>(topic), offset, wait.count());
+        = fmt::format("{}?topic={}&from={}&wait={}", READ_PATH, static_cast<int>(topic), request.offset, wait.count());
+    if (request.era)
+        target += fmt::format("&era={}", request.era->value());
     const Duration timeout = wait > Duration(0) ? wait + store::RELAY_TIMEOUT : store::FALLBACK_SOURCE_TIMEOUT;
     call(host, std::move(target), timeout, [done = std::move(done)](const auto& raw) {
         if (!raw.value)
@@ -279,6 +315,8 @@
                 store::StoreError::Malformed, "malformed answer of the source host"));
         done({ .value = store::RecordBatch { .records = std::move(answer->records),
                    .nextOffset = answer->offset,
+                   .era = answer->storeEra(),
+                   .isRestoring = answer->isRestoring,
                    .sourceAge = Duration(answer->ageMs),
                    .heldFor = Duration(answer->heldMs) } });
     });
@@ -294,7 +332,10 @@
         if (!answer)
             return done(store::Outcome<store::SnapshotPage>::failed(
                 store::StoreError::Malformed, "malformed answer of the source host"));
-        store::SnapshotPage page { .records = std::move(answer->records), .endOffset = answer->offset };
+        store::SnapshotPage page { .records = std::move(answer->records),
+            .endOffset = answer->offset,
+            .era = answer->storeEra(),
+            .isRestoring = answer->isRestoring };
         page.sourceAge = Duration(answer->ageMs);
         done({ .value = std::move(page) });
     });
--- a/src/entry/internal/peerrelay.h
+++ b/src/entry/internal/peerrelay.h
@@ -17,20 +17,21 @@
 // Serves the records that this host has read from the store to other hosts.
 class RelayServer {
 public:
-    // Returns the time up to which the records of a topic are known to be complete; no value before the first snapshot.
-    using ConfirmedAt = std::function<std::optional<TimePoint>(store::Topic)>;
+    // Returns this host's feed of a topic, or null if it reads none.
+    using FeedOf = std::function<const store::KeyedFeed*(store::Topic)>;
 
-    RelayServer(boost::asio::io_context& loop, const IClock& clock, ConfirmedAt confirmedAt);
+    RelayServer(boost::asio::io_context& loop, const IClock& clock, FeedOf feedOf);
 
     Result<void> listen(const http::Endpoint& address);
-    void onUpdate(store::Topic topic, const store::FeedUpdate& update, const std::vector<bool>& significant,
-        std::uint64_t nextOffset);
+    // The feed of the topic has made this update.
+    void onUpdate(store::Topic topic, const store::FeedUpdate& update, const std::vector<bool>& significant);
 
 private:
     struct PendingRead {
         std::shared_ptr<http::Exchange> exchange;
         store::Topic topic = store::Topic::Operator;
         std::uint64_t offset = 0;
+        std::optional<store::Era> era;
         TimePoint receivedAt {};
         TimePoint deadline {};
     };
@@ -42,10 +43,11 @@
     bool isAnswerReady(const PendingRead& pending) const;
     void answerPendingReads();
     Duration age(store::Topic topic) const;
+    bool isRestoring(store::Topic topic) const;
 
     boost::asio::io_context& m_loop;
     const IClock& m_clock;
-    const ConfirmedAt m_confirmedAt;
+    const FeedOf m_feedOf;
     std::map<store::Topic, store::RelayLog> m_logs;
     std::list<PendingRead> m_pendingReads;
     boost::asio::steady_timer m_timer;
@@ -59,7 +61,7 @@
     RelayClient(boost::asio::io_context& loop, const IClock& clock);
     ~RelayClient();
 
-    void read(const http::Endpoint& host, store::Topic topic, std::uint64_t offset, Duration wait,
+    void read(const http::Endpoint& host, store::Topic topic, const store::FeedRequest& request,
         store::OnOutcome<store::RecordBatch> done);
     void readNewest(const http::Endpoint& host, store::Topic topic, store::OnOutcome<store::SnapshotPage> done);
 
--- a/src/entry/internal/statuspages.cpp
+++ b/src/entry/internal/statuspages.cpp
@@ -79,6 +79,8 @@
     document["configuration"] = m_context.catalog.version().value();
     document["configuration_age_ms"] = confirmed ? nlohmann::ordered_json((now - *confirmed).count()) : nullptr;
     document["store_reachable"] = m_context.catalogSync.reachesStore();
+    const auto era = m_context.catalogSync.storeEra();
+    document["store_era"] = era ? nlohmann::ordered_json(era->value()) : nullptr;
     document["open_requests"] = m_context.requestDispatcher.openRequests();
     document["waiting_requests"] = m_context.serviceQueues.size();
     auto& evacuated = document["evacuated"] = nlohmann::ordered_json::array();
--- a/src/rollout/internal/rolloutcontroller.cpp
+++ b/src/rollout/internal/rolloutcontroller.cpp
@@ -101,6 +101,12 @@
     m_rejected[status.service].erase(status.target);
 }
 
+void RolloutController::onStatusesLost()
+{
+    for (auto& [service, it] : m_rollouts)
+        it.writtenPhase.reset();
+}
+
 void RolloutController::onVersionSeen(
     const ServiceName& service, const catalog::SoftwareVersion& version, TimePoint now)
 {
--- a/src/store/internal/keyedfeed.cpp
+++ b/src/store/internal/keyedfeed.cpp
@@ -4,6 +4,11 @@
 
 namespace fireflyhaven::store {
 
+namespace {
+// After the store has come back from a copy, the operator and the upstreams write within this time what it has lost.
+constexpr Duration REWRITE_GRACE { 5000 };
+}
+
 KeyedFeed::KeyedFeed(FeedOptions options)
     : m_options(options)
     , m_backoff(options.initialBackoff)
@@ -16,8 +21,11 @@
         return std::nullopt;
     m_requestInFlight = true;
     m_requestedAt = now;
+    endRestoration(now);
     if (m_tailing)
-        return FeedRequest { .kind = FeedRequest::Kind::Read, .after = {}, .offset = m_offset, .wait = m_options.wait };
+        return FeedRequest {
+            .kind = FeedRequest::Kind::Read, .after = {}, .offset = m_offset, .era = m_era, .wait = m_options.wait
+        };
     if (!m_continueAfter) {
         m_snapshotStartedAt = now;
         m_snapshotRecords.clear();
@@ -32,9 +40,16 @@
 
 std::optional<FeedUpdate> KeyedFeed::onPage(const SnapshotPage& page, TimePoint now)
 {
+    if (m_continueAfter && page.era != m_snapshotEra) {
+        onSucceeded(now);
+        startSnapshot(now);
+        return std::nullopt;
+    }
     // The pages are read at different times. Changes made in between are read again from the offset of the first page.
-    if (!m_continueAfter)
+    if (!m_continueAfter) {
         m_offset = page.endOffset;
+        m_snapshotEra = page.era;
+    }
     m_snapshotRecords.insert(m_snapshotRecords.end(), page.records.begin(), page.records.end());
     m_continueAfter = page.continueAfter;
     onSucceeded(now);
@@ -43,20 +58,58 @@
         return std::nullopt;
     }
     m_tailing = true;
-    m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint {}), m_snapshotStartedAt - page.sourceAge);
-    return FeedUpdate { .replacesAll = true, .records = std::move(m_snapshotRecords) };
+    const bool isRestored = m_era && m_snapshotEra && *m_snapshotEra > *m_era;
+    if (m_snapshotEra)
+        m_era = m_snapshotEra;
+    if (isRestored) {
+        m_isRestoring = true;
+        m_restoredAt = now;
+    }
+    onCurrent(m_snapshotStartedAt - page.sourceAge, page.isRestoring);
+    return FeedUpdate { .replacesAll = true, .records = std::move(m_snapshotRecords), .isRestored = isRestored };
 }
 
 FeedUpdate KeyedFeed::onRecords(const RecordBatch& batch, TimePoint now)
 {
+    if (m_era && batch.era && *batch.era > *m_era) {
+        onSucceeded(now);
+        startSnapshot(now);
+        return {};
+    }
+    if (batch.era)
+        m_era = batch.era;
     m_offset = std::max(m_offset, batch.nextOffset);
     // Earliest time at which the source can have answered; the transfer time of the answer is not known.
     const TimePoint answeredAt = std::min(now, m_requestedAt + batch.heldFor);
-    m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint {}), answeredAt - batch.sourceAge);
+    onCurrent(answeredAt - batch.sourceAge, batch.isRestoring);
     onSucceeded(now);
     return { .replacesAll = false, .records = batch.records };
 }
 
+void KeyedFeed::onCurrent(TimePoint at, bool sourceIsRestoring)
+{
+    m_currentAt = std::max(m_currentAt.value_or(TimePoint {}), at);
+    if (!m_isRestoring && !sourceIsRestoring)
+        m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint {}), at);
+}
+
+void KeyedFeed::startSnapshot(TimePoint now)
+{
+    m_tailing = false;
+    m_continueAfter.reset();
+    m_dueAt = now;
+}
+
+void KeyedFeed::endRestoration(TimePoint now)
+{
+    if (!m_restoredAt || now - *m_restoredAt < REWRITE_GRACE)
+        return;
+    m_restoredAt.reset();
+    m_isRestoring = false;
+    m_tailing = false;
+    m_continueAfter.reset();
+}
+
 void KeyedFeed::onSucceeded(TimePoint now)
 {
     m_requestInFlight = false;
@@ -68,12 +121,8 @@
 void KeyedFeed::onFailed(StoreError error, TimePoint now)
 {
     m_requestInFlight = false;
-    if (error == StoreError::HistoryLost) {
-        m_tailing = false;
-        m_continueAfter.reset();
-        m_dueAt = now;
-        return;
-    }
+    if (error == StoreError::HistoryLost)
+        return startSnapshot(now);
     if (!m_failingSince)
         m_failingSince = m_requestedAt;
     m_dueAt = now + m_backoff;
--- a/src/store/internal/relaylog.cpp
+++ b/src/store/internal/relaylog.cpp
@@ -7,12 +7,14 @@
 {
 }
 
-void RelayLog::onUpdate(const FeedUpdate& update, const std::vector<bool>& isChange, std::uint64_t nextOffset)
+void RelayLog::onUpdate(
+    const FeedUpdate& update, const std::vector<bool>& isChange, std::uint64_t nextOffset, std::optional<Era> era)
 {
     if (update.replacesAll) {
         // A snapshot holds no records of deleted keys, so that readers of the tail would miss the deletions. Dropping
         // the tail makes them read a new snapshot.
-        m_newest.clear();
+        if (!update.isRestored)
+            m_newest.clear();
         m_records.clear();
         m_firstOffset = nextOffset;
         m_hasSnapshot = true;
@@ -27,17 +29,19 @@
             m_records.push_back({ .endOffset = nextOffset, .record = it });
     }
     m_nextOffset = nextOffset;
+    m_era = era;
     while (m_records.size() > m_maxRecords) {
         m_firstOffset = m_records.front().endOffset;
         m_records.pop_front();
     }
 }
 
-std::optional<RecordBatch> RelayLog::read(std::uint64_t offset) const
+std::optional<RecordBatch> RelayLog::read(std::uint64_t offset, std::optional<Era> era) const
 {
-    if (!m_hasSnapshot || offset < m_firstOffset)
+    const bool isOtherEra = era && m_era && *era != *m_era;
+    if (!m_hasSnapshot || isOtherEra || offset < m_firstOffset)
         return std::nullopt;
-    RecordBatch batch { .records = {}, .nextOffset = std::max(offset, m_nextOffset) };
+    RecordBatch batch { .records = {}, .nextOffset = std::max(offset, m_nextOffset), .era = m_era };
     for (const RetainedRecord& it : m_records) {
         if (it.endOffset > offset)
             batch.records.push_back(it.record);
@@ -49,7 +53,7 @@
 {
     if (!m_hasSnapshot)
         return std::nullopt;
-    SnapshotPage page { .records = {}, .endOffset = m_nextOffset };
+    SnapshotPage page { .records = {}, .endOffset = m_nextOffset, .era = m_era };
     for (const auto& [key, it] : m_newest)
         page.records.push_back(it);
     return page;
