Reader of the store that falls silent: a source is given up in time for another read

Class: a time-out chosen apart from its bound. Not a cause here: offsets (the store was not restored), hand-overs (none). Change: store::TopicReader, out of CatalogSync and without I/O, holds what is read from whom and for how long. All limits follow from the topic's bound, spelled out hop by hop in ReadTiming (configuration, revocation and evacuation among them now): a host gives up its source at 0.45 of the bound whatever the source does, asks another host or the store, which has 0.3 s to answer. An empty answer of a read that waited confirms up to the end of the wait; a host passes each confirmation on at once, so that ages no longer add up over hops; a reader that fails to read answers the reads that wait at it with a failure at once. In a layered fleet substitutes give up a source 0.25 s before the others.

--- a/include/fireflyhaven/store/readsourceselector.h
+++ b/include/fireflyhaven/store/readsourceselector.h
@@ -8,9 +8,8 @@
 namespace fireflyhaven::store {
 
 struct ReadSourceOptions {
-    // After a failed read from another host, this host reads the store directly for this time. In a layered fleet, it
-    // does not select the failed host again for this time, and reads the store directly only as `substitutes` and
-    // `maxFailedSources` allow.
+    // After a failed read from another host, this host does not select it again for this time, and reads the store
+    // directly; in a layered fleet only as `substitutes` and `maxFailedSources` allow.
     Duration directReadPeriod { 2000 };
     // A host whose last call to the store failed retries the store after this time.
     Duration storeRetry { 1500 };
@@ -45,6 +44,8 @@
     void onStoreRead(bool succeeded, TimePoint now);
     // A read from this other host failed.
     void onPeerFailed(const fleet::HostTable& hosts, const HostId& source, TimePoint now);
+    // Whether this host is among those of its data centre that read the store as soon as one source fails.
+    bool isSubstitute(const fleet::HostTable& hosts, TimePoint now) const;
     // Whether this host reads the store directly because of failed reads from other hosts.
     bool readsDirectly(TimePoint now) const { return now < m_directReadUntil; }
     // Whether this host's last call to the store succeeded; true before the first one.
@@ -54,7 +55,6 @@
     std::optional<HostId> layeredSource(const fleet::HostTable& hosts, TimePoint now) const;
     bool hasFailed(const HostId& source, TimePoint now) const;
     bool haveSourcesFailed(TimePoint now) const;
-    bool isSubstitute(const fleet::HostTable& hosts, TimePoint now) const;
     // Whether enough time has passed since this host's last call to the store.
     bool mayTryStore(const fleet::HostTable& hosts, TimePoint now) const;
 
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// Interval of checks for another host to read from during start-up.
-constexpr Duration STARTUP_RETRY_INTERVAL { 50 };
 // Reads that failed for at least this long may indicate an outage of the store, during which registrations lapse.
 constexpr Duration MIN_OUTAGE { 1000 };
 // Live upstreams renew their registrations within this time after an outage.
@@ -39,16 +37,18 @@
     : m_context(std::move(context))
     , m_relayServer(m_context.loop, m_context.clock, [this](store::Topic topic) { return feedOf(topic); })
     , m_relayClient(m_context.loop, m_context.clock)
-    , m_operatorFeed { .topic = store::Topic::Operator,
-        .state = store::KeyedFeed({}),
-        .timer = boost::asio::steady_timer(m_context.loop) }
-    , m_upstreamFeed { .topic = store::Topic::Upstreams,
-        .state = store::KeyedFeed({}),
-        .timer = boost::asio::steady_timer(m_context.loop) }
-    , m_statusFeed {
-        .topic = store::Topic::Status, .state = store::KeyedFeed({}), .timer = boost::asio::steady_timer(m_context.loop)
-    }
+    , m_operatorFeed(makeFeed(store::Topic::Operator))
+    , m_upstreamFeed(makeFeed(store::Topic::Upstreams))
+    , m_statusFeed(makeFeed(store::Topic::Status))
+{
+}
+
+CatalogSync::Feed CatalogSync::makeFeed(store::Topic topic)
 {
+    return { .topic = topic,
+        .reader = store::TopicReader(topic, m_sourceSelector),
+        .pollTimer = boost::asio::steady_timer(m_context.loop),
+        .timeoutTimer = boost::asio::steady_timer(m_context.loop) };
 }
 
 CatalogSync::~CatalogSync() { *m_alive = false; }
@@ -68,7 +68,7 @@
 {
     for (const Feed* feed : { &m_operatorFeed, &m_upstreamFeed, &m_statusFeed }) {
         if (feed->topic == topic)
-            return &feed->state;
+            return &feed->reader.feed();
     }
     return nullptr;
 }
@@ -82,129 +82,109 @@
     }
 }
 
-store::ReadTiming CatalogSync::readTiming() const
+store::ReadContext CatalogSync::readContext() const
 {
     const ServiceBounds& bounds = m_context.settings.bounds;
-    return store::ReadTiming({ .revocation = bounds.revocation, .upstreamDrain = bounds.upstreamDrain });
-}
-
-bool CatalogSync::readsOverTwoHops() const
-{
-    const fleet::HostTable* hosts = m_context.hosts();
-    return hosts && hosts->isLayered();
+    return { .hosts = m_context.hosts(),
+        .timing = store::ReadTiming({ .configuration = bounds.configurationApply,
+            .revocation = bounds.revocation,
+            .upstreamDrain = bounds.upstreamDrain,
+            .evacuation = bounds.evacuation }),
+        .now = m_context.clock.now() };
 }
 
 void CatalogSync::advance(Feed& feed)
 {
-    const TimePoint now = m_context.clock.now();
-    const fleet::HostTable* hosts = m_context.hosts();
-    const auto source = hosts ? m_sourceSelector.source(*hosts, now) : std::nullopt;
-    if (!source && hosts && m_sourceSelector.mustWait(*hosts, now))
-        return advanceAfter(feed, STARTUP_RETRY_INTERVAL);
-    const bool twoHops = readsOverTwoHops();
-    store::FeedOptions options
-        = source ? readTiming().fromHost(feed.topic, twoHops) : readTiming().fromStore(feed.topic, twoHops);
-    // After a failed source, the next one is read without waiting for new records.
-    if (source && twoHops && feed.state.failingSince())
-        options.wait = Duration(0);
-    feed.state.setOptions(options);
-    if (const auto due = feed.state.poll(now))
-        return request(feed, *due, source);
-    const auto next = feed.state.nextPoll();
+    const store::ReadContext context = readContext();
+    if (const auto read = feed.reader.poll(context))
+        return startRead(feed, *read);
+    const auto next = feed.reader.nextPoll(context);
     if (!next)
         return;
-    advanceAfter(feed, *next - now);
-}
-
-void CatalogSync::advanceAfter(Feed& feed, Duration delay)
-{
-    feed.timer.expires_after(delay);
-    feed.timer.async_wait([this, alive = m_alive, &feed](boost::system::error_code ec) {
+    feed.pollTimer.expires_after(*next - context.now);
+    feed.pollTimer.async_wait([this, alive = m_alive, &feed](boost::system::error_code ec) {
         if (!ec && *alive)
             advance(feed);
     });
 }
 
-void CatalogSync::request(Feed& feed, const store::FeedRequest& request, const std::optional<HostId>& source)
+template <typename T, typename Handler>
+store::OnOutcome<T> CatalogSync::forRead(Feed& feed, const store::TopicRead& read, Handler onValue)
 {
-    const bool fromStore = !source;
-    const auto finish = [this, &feed, source](const auto& outcome, auto&& onValue) {
-        const TimePoint now = m_context.clock.now();
-        const bool stale
-            = outcome.value && outcome.value->sourceAge > readTiming().maxSourceAge(feed.topic, readsOverTwoHops());
-        const bool behind = outcome.value && feed.state.isBehind(outcome.value->era);
-        if (behind)
-            onReadFailed(feed, source, store::StoreError::NotExecuted, "the source is in an earlier era of the store");
-        else if (!outcome.value || stale)
-            onReadFailed(feed, source, outcome.value ? store::StoreError::NotExecuted : outcome.error,
-                stale ? "data of the source host is too old" : outcome.reason);
-        else
-            onValue(*outcome.value, now);
-        advance(feed);
-    };
-    const auto onPage = [this, alive = m_alive, &feed, finish, source](const auto& outcome) {
-        if (!*alive)
+    return [this, alive = m_alive, &feed, read, number = feed.reads, onValue](const store::Outcome<T>& outcome) {
+        if (!*alive || number != feed.reads)
             return;
-        finish(outcome, [&](const store::SnapshotPage& page, TimePoint now) {
-            onReadSucceeded(feed, { .host = source, .age = page.sourceAge });
-            if (auto update = feed.state.onPage(page, now))
-                applyUpdate(feed, std::move(*update));
-        });
+        feed.timeoutTimer.cancel();
+        if (!outcome.value) {
+            onReadFailed(feed, read, outcome.error, outcome.reason);
+        } else if (const auto reason
+            = feed.reader.rejectionOf(read, outcome.value->sourceAge, outcome.value->era, readContext())) {
+            onReadFailed(feed, read, store::StoreError::NotExecuted, *reason);
+        } else {
+            onReadSucceeded(feed, { .host = read.source, .age = outcome.value->sourceAge });
+            onValue(*outcome.value);
+        }
+        advance(feed);
     };
-    const auto onBatch = [this, alive = m_alive, &feed, finish, source](const auto& outcome) {
-        if (!*alive)
+}
+
+void CatalogSync::startRead(Feed& feed, const store::TopicRead& read)
+{
+    const std::uint64_t number = ++feed.reads;
+    feed.timeoutTimer.expires_after(read.timeout);
+    feed.timeoutTimer.async_wait([this, alive = m_alive, &feed, read, number](boost::system::error_code ec) {
+        if (ec || !*alive || number != feed.reads)
             return;
-        finish(outcome, [&](const store::RecordBatch& batch, TimePoint now) {
-            onReadSucceeded(feed, { .host = source, .age = batch.sourceAge });
-            applyUpdate(feed, feed.state.onRecords(batch, now));
-        });
-    };
+        ++feed.reads;
+        onReadFailed(feed, read, store::StoreError::Unknown, "no answer in time");
+        advance(feed);
+    });
+    const store::FeedRequest& request = read.request;
+    const auto onPage = forRead<store::SnapshotPage>(feed, read, [this, &feed, read](const store::SnapshotPage& page) {
+        if (auto update = feed.reader.onPage(read, page, m_context.clock.now()))
+            applyUpdate(feed, std::move(*update));
+    });
+    const auto onBatch = forRead<store::RecordBatch>(feed, read, [this, &feed, read](const store::RecordBatch& batch) {
+        applyUpdate(feed, feed.reader.onRecords(read, batch, m_context.clock.now()));
+    });
     const bool snapshot = request.kind == store::FeedRequest::Kind::ReadNewest;
-    if (fromStore) {
+    if (!read.source) {
         snapshot ? m_context.store.readNewest(feed.topic, request.after, onPage)
                  : m_context.store.read(feed.topic, request.offset, request.wait, onBatch);
         return;
     }
-    const http::Endpoint host = m_context.hosts()->hosts().at(*source).peerAddress;
+    const http::Endpoint host = m_context.hosts()->hosts().at(*read.source).peerAddress;
     snapshot ? m_relayClient.readNewest(host, feed.topic, onPage)
-             : m_relayClient.read(host, feed.topic, request, onBatch);
+             : m_relayClient.read(host, feed.topic, request, read.timeout, onBatch);
 }
 
 void CatalogSync::onReadSucceeded(Feed& feed, ReadOrigin origin)
 {
-    feed.failedSince = feed.state.failingSince();
+    feed.failedSince = feed.reader.feed().failingSince();
     feed.origin = std::move(origin);
     if (feed.origin.host)
         return;
-    m_sourceSelector.onStoreRead(true, m_context.clock.now());
     if (std::exchange(m_storeLost, false))
         telemetry::logEvent(spdlog::level::info, "store_regained");
 }
 
 void CatalogSync::onReadFailed(
-    Feed& feed, const std::optional<HostId>& source, store::StoreError error, const std::string& reason)
+    Feed& feed, const store::TopicRead& read, store::StoreError error, std::string_view reason)
 {
     const TimePoint now = m_context.clock.now();
-    feed.state.onFailed(error, now);
+    const auto confirmed = feed.reader.feed().confirmedAt();
+    feed.reader.onFailed(read, error, readContext());
     if (error == store::StoreError::HistoryLost) {
         telemetry::logEvent(spdlog::level::info, "store_history_lost", { { "topic", topicName(feed.topic) } });
         return;
     }
-    const fleet::HostTable* hosts = m_context.hosts();
-    if (source) {
-        const auto confirmed = feed.state.confirmedAt();
+    if (read.source) {
         telemetry::logEvent(spdlog::level::info, "relay_lost",
-            { { "topic", topicName(feed.topic) }, { "from", source->value() }, { "reason", reason },
+            { { "topic", topicName(feed.topic) }, { "from", read.source->value() }, { "reason", reason },
                 { "confirmed_ms_ago", confirmed ? (now - *confirmed).count() : -1 } });
-        m_sourceSelector.onPeerFailed(*hosts, *source, now);
-        if (m_sourceSelector.source(*hosts, now) != source)
-            feed.state.scheduleNow(now);
         return;
     }
-    m_sourceSelector.onStoreRead(false, now);
-    // Another host may have the records that this one has just failed to read from the store.
-    if (hosts && m_sourceSelector.source(*hosts, now))
-        feed.state.scheduleNow(now);
+    m_relayServer.onSourceLost(feed.topic);
     if (!std::exchange(m_storeLost, true))
         telemetry::logEvent(
             spdlog::level::warn, "store_lost", { { "topic", topicName(feed.topic) }, { "reason", reason } });
@@ -233,8 +213,9 @@
     const std::size_t read = copy.records.size();
     std::erase_if(copy.records, [&](const store::KeyedRecord& it) { return !isNewer(feed, it); });
     telemetry::logEvent(spdlog::level::warn, "store_restored",
-        { { "topic", topicName(feed.topic) }, { "era", feed.state.era()->value() }, { "from", feed.origin.name() },
-            { "records", read }, { "kept_newer", read - copy.records.size() }, { "kept_missing", missing.size() } });
+        { { "topic", topicName(feed.topic) }, { "era", feed.reader.feed().era()->value() },
+            { "from", feed.origin.name() }, { "records", read }, { "kept_newer", read - copy.records.size() },
+            { "kept_missing", missing.size() } });
     // The registration of an upstream that is missing is written again soon, or the upstream is gone.
     if (feed.topic == store::Topic::Upstreams) {
         for (const std::string& key : missing)
@@ -277,7 +258,7 @@
 {
     catalog::Catalog& catalog = m_context.catalog;
     if (configuration.version >= catalog.version())
-        feed.state.onWrittenAgain();
+        feed.reader.onWrittenAgain();
     if (catalog.onConfiguration(std::move(configuration)) != catalog::ConfigurationChange::Applied)
         return;
     telemetry::logEvent(spdlog::level::info, "configuration_applied",
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -3,11 +3,9 @@
 #include "fireflyhaven/catalog/catalog.h"
 #include "fireflyhaven/entry/types/settings.h"
 #include "fireflyhaven/entry/wirecodec.h"
-#include "fireflyhaven/store/keyedfeed.h"
 #include "fireflyhaven/store/knownkeys.h"
-#include "fireflyhaven/store/readsourceselector.h"
-#include "fireflyhaven/store/readtiming.h"
 #include "fireflyhaven/store/recordstore.h"
+#include "fireflyhaven/store/topicreader.h"
 #include "peerrelay.h"
 
 namespace fireflyhaven::entry {
@@ -54,11 +52,11 @@
     void tick(TimePoint now);
 
     // Time up to which the operator's records are known to be complete; no value before the first snapshot.
-    std::optional<TimePoint> operatorConfirmedAt() const { return m_operatorFeed.state.confirmedAt(); }
-    bool operatorReadsFail() const { return m_operatorFeed.state.failingSince().has_value(); }
+    std::optional<TimePoint> operatorConfirmedAt() const { return m_operatorFeed.reader.feed().confirmedAt(); }
+    bool operatorReadsFail() const { return m_operatorFeed.reader.feed().failingSince().has_value(); }
     bool reachesStore() const { return m_sourceSelector.reachesStore(); }
     // Era of the store that the operator's records were read in; no value where the store does not tell it.
-    std::optional<store::Era> storeEra() const { return m_operatorFeed.state.era(); }
+    std::optional<store::Era> storeEra() const { return m_operatorFeed.reader.feed().era(); }
 
 private:
     // The source of a read that has succeeded, and the age of its data.
@@ -72,8 +70,13 @@
 
     struct Feed {
         store::Topic topic;
-        store::KeyedFeed state;
-        boost::asio::steady_timer timer;
+        store::TopicReader reader;
+        // Until the next read is due.
+        boost::asio::steady_timer pollTimer;
+        // Until the read under way is given up.
+        boost::asio::steady_timer timeoutTimer;
+        // Counts the reads, so that the answer to one that was given up is recognised.
+        std::uint64_t reads = 0;
         store::KnownKeys keys;
         // When the reads before the last successful one began to fail; no value if the preceding read succeeded.
         std::optional<TimePoint> failedSince;
@@ -81,14 +84,14 @@
         ReadOrigin origin;
     };
 
+    Feed makeFeed(store::Topic topic);
     void advance(Feed& feed);
-    void advanceAfter(Feed& feed, Duration delay);
-    // Whether records may pass two other hosts on their way from the store to a host, as in the layered exchange.
-    bool readsOverTwoHops() const;
-    store::ReadTiming readTiming() const;
-    void request(Feed& feed, const store::FeedRequest& request, const std::optional<HostId>& source);
-    void onReadFailed(
-        Feed& feed, const std::optional<HostId>& source, store::StoreError error, const std::string& reason);
+    store::ReadContext readContext() const;
+    void startRead(Feed& feed, const store::TopicRead& read);
+    // Wraps a handler of the outcome so that it is called for the read under way only.
+    template <typename T, typename Handler>
+    store::OnOutcome<T> forRead(Feed& feed, const store::TopicRead& read, Handler onValue);
+    void onReadFailed(Feed& feed, const store::TopicRead& read, store::StoreError error, std::string_view reason);
     void onReadSucceeded(Feed& feed, ReadOrigin origin);
     void applyUpdate(Feed& feed, store::FeedUpdate update);
     // Prepares the first snapshot of a new era: leaves out the records of the copy that this host has newer, and keeps
--- a/src/entry/internal/peerrelay.cpp
+++ b/src/entry/internal/peerrelay.cpp
@@ -1,7 +1,6 @@
 #include "peerrelay.h"
 
 #include "fireflyhaven/common/text.h"
-#include "fireflyhaven/store/readtiming.h"
 #include "fireflyhaven/http/types/status.h"
 
 #include <cereal/archives/portable_binary.hpp>
@@ -133,25 +132,35 @@
     if (path == NEWEST_PATH)
         return answerNewest(*exchange, *topic);
     const Duration wait = std::min(MAX_WAIT, Duration(numberParameter(target, "wait").value_or(0)));
+    const store::KeyedFeed* feed = m_feedOf(*topic);
     const PendingRead pending { .exchange = std::move(exchange),
         .topic = *topic,
-        .offset = numberParameter(target, "from").value_or(0),
-        .era = eraParameter(target),
-        .receivedAt = m_clock.now(),
-        .deadline = m_clock.now() + wait };
-    if (wait == Duration(0) || isAnswerReady(pending))
+        .read = { .offset = numberParameter(target, "from").value_or(0),
+            .era = eraParameter(target),
+            .currentAt = feed ? feed->currentAt() : std::nullopt,
+            .receivedAt = m_clock.now(),
+            .deadline = m_clock.now() + wait } };
+    if (isAnswerDue(pending))
         return answerRead(pending);
     m_pendingReads.push_back(pending);
     answerPendingReads();
 }
 
-bool RelayServer::isAnswerReady(const PendingRead& pending) const
+bool RelayServer::isAnswerDue(const PendingRead& pending) const
 {
-    const auto it = m_logs.find(pending.topic);
-    if (it == m_logs.end())
+    const auto log = m_logs.find(pending.topic);
+    const store::KeyedFeed* feed = m_feedOf(pending.topic);
+    return log == m_logs.end() || !feed || store::isAnswerDue(log->second, *feed, pending.read, m_clock.now());
+}
+
+void RelayServer::onSourceLost(store::Topic topic)
+{
+    std::erase_if(m_pendingReads, [&](const PendingRead& it) {
+        if (it.topic != topic)
+            return false;
+        it.exchange->sendResponse({ .status = STATUS_UNAVAILABLE }, {});
         return true;
-    const auto batch = it->second.read(pending.offset, pending.era);
-    return !batch || !batch->records.empty();
+    });
 }
 
 void RelayServer::answerPendingReads()
@@ -159,12 +168,12 @@
     const TimePoint now = m_clock.now();
     std::optional<TimePoint> next;
     for (auto it = m_pendingReads.begin(); it != m_pendingReads.end();) {
-        if (now >= it->deadline || isAnswerReady(*it)) {
+        if (isAnswerDue(*it)) {
             answerRead(*it);
             it = m_pendingReads.erase(it);
             continue;
         }
-        next = std::min(next.value_or(it->deadline), it->deadline);
+        next = std::min(next.value_or(it->read.deadline), it->read.deadline);
         ++it;
     }
     if (!next)
@@ -192,13 +201,13 @@
 
 void RelayServer::answerRead(const PendingRead& pending)
 {
-    const auto batch = m_logs[pending.topic].read(pending.offset, pending.era);
+    const auto batch = m_logs[pending.topic].read(pending.read.offset, pending.read.era);
     if (!batch)
         return pending.exchange->sendResponse({ .status = STATUS_GONE }, {});
     const RelayAnswer answer { .records = batch->records,
         .offset = batch->nextOffset,
         .ageMs = static_cast<std::uint32_t>(age(pending.topic).count()),
-        .heldMs = static_cast<std::uint32_t>((m_clock.now() - pending.receivedAt).count()),
+        .heldMs = static_cast<std::uint32_t>((m_clock.now() - pending.read.receivedAt).count()),
         .era = numberOf(batch->era),
         .isRestoring = isRestoring(pending.topic) };
     pending.exchange->sendResponse({ .status = STATUS_OK }, encode(answer));
@@ -298,14 +307,12 @@
 }
 
 void RelayClient::read(const http::Endpoint& host, store::Topic topic, const store::FeedRequest& request,
-    store::OnOutcome<store::RecordBatch> done)
+    Duration timeout, store::OnOutcome<store::RecordBatch> done)
 {
-    const Duration wait = request.wait;
-    std::string target
-        = fmt::format("{}?topic={}&from={}&wait={}", READ_PATH, static_cast<int>(topic), request.offset, wait.count());
+    std::string target = fmt::format(
+        "{}?topic={}&from={}&wait={}", READ_PATH, static_cast<int>(topic), request.offset, request.wait.count());
     if (request.era)
         target += fmt::format("&era={}", request.era->value());
-    const Duration timeout = wait > Duration(0) ? wait + store::RELAY_TIMEOUT : store::FALLBACK_SOURCE_TIMEOUT;
     call(host, std::move(target), timeout, [done = std::move(done)](const auto& raw) {
         if (!raw.value)
             return done(store::Outcome<store::RecordBatch>::failed(raw.error, raw.reason));
--- a/src/entry/internal/peerrelay.h
+++ b/src/entry/internal/peerrelay.h
@@ -4,7 +4,7 @@
 #include "fireflyhaven/http/eventclient.h"
 #include "fireflyhaven/http/eventserver.h"
 #include "fireflyhaven/store/recordstore.h"
-#include "fireflyhaven/store/relaylog.h"
+#include "fireflyhaven/store/topicreader.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -23,24 +23,22 @@
     RelayServer(boost::asio::io_context& loop, const IClock& clock, FeedOf feedOf);
 
     Result<void> listen(const http::Endpoint& address);
-    // The feed of the topic has made this update.
+    // This host can't read the topic any more: waiting reads fail at once, so that they are made elsewhere.
+    void onSourceLost(store::Topic topic);
+    // The feed of the topic has made this update, which may be empty.
     void onUpdate(store::Topic topic, const store::FeedUpdate& update, const std::vector<bool>& significant);
 
 private:
     struct PendingRead {
         std::shared_ptr<http::Exchange> exchange;
         store::Topic topic = store::Topic::Operator;
-        std::uint64_t offset = 0;
-        std::optional<store::Era> era;
-        TimePoint receivedAt {};
-        TimePoint deadline {};
+        store::WaitingRead read;
     };
 
     void onRequest(std::shared_ptr<http::Exchange> exchange);
     void answerRead(const PendingRead& pending);
     void answerNewest(http::Exchange& exchange, store::Topic topic);
-    // Whether a read can be answered at once: new records are there, or its offset cannot be served any more.
-    bool isAnswerReady(const PendingRead& pending) const;
+    bool isAnswerDue(const PendingRead& pending) const;
     void answerPendingReads();
     Duration age(store::Topic topic) const;
     bool isRestoring(store::Topic topic) const;
@@ -61,7 +59,7 @@
     RelayClient(boost::asio::io_context& loop, const IClock& clock);
     ~RelayClient();
 
-    void read(const http::Endpoint& host, store::Topic topic, const store::FeedRequest& request,
+    void read(const http::Endpoint& host, store::Topic topic, const store::FeedRequest& request, Duration timeout,
         store::OnOutcome<store::RecordBatch> done);
     void readNewest(const http::Endpoint& host, store::Topic topic, store::OnOutcome<store::SnapshotPage> done);
 
--- a/src/store/internal/readsourceselector.cpp
+++ b/src/store/internal/readsourceselector.cpp
@@ -19,7 +19,7 @@
     if (m_reachesStore)
         candidates.push_back(hosts.self());
     for (const fleet::KnownHost* it : hosts.live(now)) {
-        if (it->report.reachesStore)
+        if (it->report.reachesStore && !hasFailed(it->report.host, now))
             candidates.push_back(it->report.host);
     }
     if (candidates.empty())
@@ -106,15 +106,13 @@
 
 void ReadSourceSelector::onPeerFailed(const fleet::HostTable& hosts, const HostId& source, TimePoint now)
 {
-    if (!m_reachesStore || now < m_readGraceUntil)
+    if (now < m_readGraceUntil)
         return;
-    if (!hosts.isLayered()) {
-        m_directReadUntil = now + m_options.directReadPeriod;
-        return;
-    }
     std::erase_if(m_failedSources, [&](const auto& it) { return it.second <= now; });
     m_failedSources.insert_or_assign(source, now + m_options.directReadPeriod);
-    if (isSubstitute(hosts, now) || haveSourcesFailed(now))
+    if (!m_reachesStore)
+        return;
+    if (!hosts.isLayered() || isSubstitute(hosts, now) || haveSourcesFailed(now))
         m_directReadUntil = now + m_options.directReadPeriod;
 }
 
--- a/src/store/internal/readtiming.cpp
+++ b/src/store/internal/readtiming.cpp
@@ -6,20 +6,19 @@
 
 namespace {
 
-// A read of the operator's records waits for new ones no longer than this time and this fraction of the revocation
-// bound: its result is confirmed only as of the start of the read.
 constexpr Duration MAX_OPERATOR_WAIT { 700 };
-constexpr double REVOCATION_WAIT_FRACTION = 1.0 / 6;
-constexpr Duration UPSTREAM_INTERVAL { 700 };
+constexpr double OPERATOR_WAIT_FRACTION = 0.25;
+constexpr Duration MAX_UPSTREAM_INTERVAL { 700 };
+constexpr double UPSTREAM_INTERVAL_FRACTION = 0.3;
 constexpr Duration UPSTREAM_INTERVAL_TWO_HOPS { 400 };
 constexpr Duration STATUS_INTERVAL { 3000 };
 constexpr Duration HOST_WAIT { 600 };
 constexpr Duration HOST_WAIT_TWO_HOPS { 1000 };
-// Fractions of the drain bound. A host whose wait for another host ends without an answer, and that then reads the
-// store directly, still meets the bound.
+// A read from another host waits longer than that host waits for the store, so that it is answered with a confirmation.
+constexpr Duration HOST_WAIT_MARGIN { 400 };
 constexpr double DRAIN_WAIT_FRACTION = 0.2;
-constexpr double DRAIN_AGE_FRACTION = 0.45;
-constexpr Duration MAX_SOURCE_AGE { 2500 };
+// Fraction of a bound at which a host gives up its source. What is left of the bound is for reading elsewhere.
+constexpr double SOURCE_AGE_FRACTION = 0.45;
 // The status topic is read at a long interval, so that its data is older.
 constexpr Duration MAX_STATUS_SOURCE_AGE { 9000 };
 
@@ -30,13 +29,22 @@
 
 }
 
+Duration ReadTiming::bound(Topic topic) const
+{
+    if (topic == Topic::Upstreams)
+        return m_bounds.upstreamDrain;
+    return std::min({ m_bounds.configuration, m_bounds.revocation, m_bounds.evacuation });
+}
+
 FeedOptions ReadTiming::fromStore(Topic topic, bool overTwoHops) const
 {
     switch (topic) {
     case Topic::Operator:
-        return { .wait = std::min(MAX_OPERATOR_WAIT, fractionOf(m_bounds.revocation, REVOCATION_WAIT_FRACTION)) };
+        return { .wait = std::min(MAX_OPERATOR_WAIT, fractionOf(bound(topic), OPERATOR_WAIT_FRACTION)) };
     case Topic::Upstreams:
-        return { .interval = overTwoHops ? UPSTREAM_INTERVAL_TWO_HOPS : UPSTREAM_INTERVAL };
+        return { .interval = overTwoHops
+                ? UPSTREAM_INTERVAL_TWO_HOPS
+                : std::min(MAX_UPSTREAM_INTERVAL, fractionOf(bound(topic), UPSTREAM_INTERVAL_FRACTION)) };
     default:
         return { .interval = STATUS_INTERVAL };
     }
@@ -44,21 +52,18 @@
 
 FeedOptions ReadTiming::fromHost(Topic topic, bool overTwoHops) const
 {
-    const Duration wait = overTwoHops ? HOST_WAIT_TWO_HOPS : HOST_WAIT;
     if (topic == Topic::Operator)
-        return { .wait = std::min(wait, fractionOf(m_bounds.revocation, REVOCATION_WAIT_FRACTION)) };
+        return { .wait = fromStore(topic, overTwoHops).wait + HOST_WAIT_MARGIN };
     if (topic == Topic::Upstreams && overTwoHops)
-        return { .wait = fractionOf(m_bounds.upstreamDrain, DRAIN_WAIT_FRACTION) };
-    return { .wait = wait };
+        return { .wait = fractionOf(bound(topic), DRAIN_WAIT_FRACTION) };
+    if (topic == Topic::Upstreams)
+        return { .wait = fromStore(topic, overTwoHops).interval + HOST_WAIT_MARGIN };
+    return { .wait = overTwoHops ? HOST_WAIT_TWO_HOPS : HOST_WAIT };
 }
 
-Duration ReadTiming::maxSourceAge(Topic topic, bool overTwoHops) const
+Duration ReadTiming::maxSourceAge(Topic topic, bool /*overTwoHops*/) const
 {
-    if (topic == Topic::Status)
-        return MAX_STATUS_SOURCE_AGE;
-    if (topic == Topic::Upstreams && overTwoHops)
-        return fractionOf(m_bounds.upstreamDrain, DRAIN_AGE_FRACTION);
-    return MAX_SOURCE_AGE;
+    return topic == Topic::Status ? MAX_STATUS_SOURCE_AGE : fractionOf(bound(topic), SOURCE_AGE_FRACTION);
 }
 
 }
--- a/src/store/tests/readtiming_test.cpp
+++ b/src/store/tests/readtiming_test.cpp
@@ -37,8 +37,30 @@
     cr_assert(first < it.maxSourceAge(Topic::Upstreams, true));
     const Duration statusAge = it.fromStore(Topic::Status, true).interval + it.fromHost(Topic::Status, true).wait;
     cr_assert(statusAge + TRANSFER_DELAY < it.maxSourceAge(Topic::Status, true));
-    const Duration operatorAge = it.fromStore(Topic::Operator, true).wait + it.fromHost(Topic::Operator, true).wait;
-    cr_assert(operatorAge + TRANSFER_DELAY < it.maxSourceAge(Topic::Operator, true));
+    // A host that is read from passes each confirmation on at once, so that the waits of the hops do not add up.
+    for (const bool overTwoHops : { false, true }) {
+        const Duration operatorAge = it.fromStore(Topic::Operator, overTwoHops).wait + 2 * TRANSFER_DELAY;
+        cr_assert(operatorAge < it.maxSourceAge(Topic::Operator, overTwoHops));
+        const Duration upstreamAge = it.fromStore(Topic::Upstreams, overTwoHops).interval + 2 * TRANSFER_DELAY;
+        cr_assert(upstreamAge < it.maxSourceAge(Topic::Upstreams, overTwoHops));
+    }
+}
+
+// Guards against a time-out that is chosen apart from the bound that it serves: a host gives up its source, asks
+// another one in vain, and reads the store.
+Test(readtiming, changeIsSeenWithinBoundAfterSourceFailure)
+{
+    for (const Duration bound : { Duration(2000), Duration(3000), Duration(4000) }) {
+        const ReadTiming it({ .configuration = bound, .upstreamDrain = bound });
+        for (const Topic topic : { Topic::Operator, Topic::Upstreams }) {
+            const Duration flat = it.maxSourceAge(topic, false) + STORE_ANSWER_TIME + FALLBACK_SOURCE_TIMEOUT;
+            cr_assert(flat < bound, "%ld ms", static_cast<long>(flat.count()));
+            const Duration layered
+                = it.maxSourceAge(topic, true) + SUBSTITUTE_HEAD_START + FALLBACK_SOURCE_TIMEOUT + STORE_ANSWER_TIME;
+            cr_assert(layered < bound, "%ld ms", static_cast<long>(layered.count()));
+            cr_assert(it.bound(topic) == bound);
+        }
+    }
 }
 
 // Guards against keys that lose their confirmation without a failure. Keys are confirmed as of the start of the store
