Exposure: what an unproven version may still get is counted, not estimated

Cause: the budget was estimated from the rate of a few trial sessions, left out the requests in flight and those that are cut off at completion and go on at the new version, and all sessions moved at least 1 s before the order's end however little was left. Class: a bound kept by an estimate. Change: rollout::ExposureBudget counts the answers of the service and of its new version since the order, of this host and, from their reports, of all others. Only what was counted raises the budget, so that late or missing reports lower it; a host that starts during an order gets none of the slack. The load test, the move of all sessions and the completion each need their cost within what is left. Where that is too late for the order's end, the status is written after it: a good version that is late costs less than a bad one that gets too much. The verdict on the load test falls 1 s before the end at the latest, whether or not the sessions move. rollout_stage shows answered, in_flight and budget_left.

--- a/include/fireflyhaven/rollout/rolloutcontroller.h
+++ b/include/fireflyhaven/rollout/rolloutcontroller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fireflyhaven/catalog/types/operatorchange.h"
+#include "fireflyhaven/rollout/exposurebudget.h"
 #include "fireflyhaven/rollout/sessiontable.h"
 #include "fireflyhaven/rollout/versionevaluator.h"
 
@@ -15,11 +16,23 @@
     int exposureSlack = 30;
     // Fraction of `exposureRatio` that is the share of sessions on the new version during the trial.
     double trialExposureFraction = 0.38;
-    // Fraction of `exposureRatio` that the load test of the proving stage may use, in addition to `exposureSlack`.
+    // Fraction of `exposureRatio` that the load test of the proving stage may use, in addition to its part of the
+    // slack.
     double provingExposureFraction = 0.15;
-    // The exposure budget is `exposureRatio` of the requests expected over the order's duration. This fraction of what
-    // is left of it may be used between the move of all sessions and the order's end.
-    double moveBudgetFraction = 0.9;
+    // Fraction of `exposureSlack` that the load test may use.
+    double provingSlackFraction = 0.4;
+    // The load test leaves at least what the service gets in this time, for the move of all sessions.
+    Duration minMoveTime { 400 };
+    // Fraction of `exposureSlack` that the move of all sessions may use. The rest covers requests that are not counted
+    // yet.
+    double moveSlackFraction = 0.8;
+    // Same for the completion, at which less is unknown.
+    double completionSlackFraction = 1.0;
+    // Requests that are expected until the order's end, relative to the rate of the last seconds.
+    double rateMargin = 1.1;
+    // Share of the requests in flight on the old version that go on at the new one after completion, where they are cut
+    // off.
+    double resumedShare = 0.3;
     // Limit of the trial's share of sessions in deployments with many hosts, where the hosts have to agree on the
     // version of each of these sessions.
     double maxTrialShareManyHosts = 0.03;
@@ -41,8 +54,9 @@
     double maxProvingLoad = 0.95;
     // Number of good answers under load with which a version without failures under load passes the load test.
     std::uint32_t minProvingAnswers = 16;
-    // Time before the order's end at which the status Completed is written even if requests still run on the old
-    // version. The margin allows for the delay with which hosts receive an order.
+    // Time before the order's end from which the status Completed is written even if requests still run on the old
+    // version, as soon as the exposure budget allows it. The margin allows for the delay with which hosts receive an
+    // order. Where the budget does not allow it before the order's end, the status is written after it.
     Duration completionMargin { 1000 };
     // All sessions move at most this long before the completion margin begins, so that requests on the old version can
     // drain.
@@ -97,8 +111,9 @@
     std::optional<UpstreamId> provingUpstream;
     int provingSlots = 0;
     int provingInFlight = 0;
-    // In-flight requests of all hosts at all upstreams of the service.
+    // In-flight requests of all hosts at all upstreams of the service, and those at the new version's.
     int inFlight = 0;
+    int newInFlight = 0;
 };
 
 // Controls the roll-out of new versions: tries a version with a small share of the sessions, evaluates it by the
@@ -131,6 +146,8 @@
         const ServiceName& service, std::uint64_t sessionHash, const catalog::SoftwareVersion& version, TimePoint now);
     // Called with each answer that is evidence on its version.
     void onAnswer(const AnswerSample& answer, TimePoint now);
+    // Called with the number of answers of the version that other hosts have received.
+    void onPeerAnswers(const ServiceName& service, const catalog::SoftwareVersion& version, std::uint32_t n);
 
     void fillReport(fleet::HostReport& report, TimePoint now) const;
     void onReport(const fleet::HostReport& previous, const fleet::HostReport& report, TimePoint now);
@@ -153,6 +170,8 @@
         catalog::RolloutOrder order;
         // Earliest time at which any host received the order, as far as reported.
         TimePoint receivedAt {};
+        // When this host began to count the answers of the service.
+        TimePoint countedSince {};
         double trialShare = 0;
         bool rejected = false;
         bool completed = false;
@@ -162,6 +181,8 @@
         // Start of the proving stage; no value before.
         std::optional<TimePoint> provingSince;
         bool sessionsMoved = false;
+        // Whether the status Completed may be written although requests run on the old version.
+        bool mayComplete = false;
         // Set at the start of the proving stage, over all hosts: answers of the new version per second of the trial,
         // its answers so far, and the maximum number of requests for the load test, not counting those of sessions on
         // trial.
@@ -169,6 +190,7 @@
         std::uint32_t answersBeforeProving = 0;
         double maxProvingRequests = 0;
         VersionEvaluator evaluator;
+        ExposureBudget exposure;
         // The stage that was last written to the log.
         std::optional<Stage> loggedStage;
     };
@@ -187,8 +209,11 @@
     double provingLoadOf(const Rollout& it) const;
     // Whether the request is to be sent to the upstream under load test.
     bool usesProvingUpstream(const Rollout& it, RequestProfile profile, TimePoint now) const;
-    // Requests per second of the whole service, estimated from the answers of the trial.
-    static double serviceRate(const Rollout& it) { return it.trialAnswerRate / it.trialShare; }
+    static Duration timeLeft(const Rollout& it, TimePoint now) { return it.receivedAt + it.order.duration - now; }
+    // Requests that the new version may still get, if it may use this fraction of the slack.
+    double remainingExposure(const Rollout& it, double slackFraction) const;
+    // Requests that the service is expected to get in the time.
+    double expectedRequests(const Rollout& it, Duration time) const;
     // Answers of the new version plus the in-flight requests at the upstream under load test.
     static double targetRequests(const Rollout& it);
     // The part of `targetRequests` that the load test has added to those of the trial.
@@ -199,10 +224,19 @@
     // Moves all sessions when `moveAge` is reached, or rejects the version because of its answers under load.
     void updateProving(Rollout& it, TimePoint now);
     bool hasPassedProving(const Rollout& it) const;
-    // Age of an order at which all sessions move. It keeps the requests of the new version until the order's end within
-    // the exposure budget, as the version may be bad without any evidence yet. A passed load test does not move it
-    // forward, since the version may fail at a load higher than the tested one.
-    Duration moveAge(const Rollout& it) const;
+    // Whether a further request of the load test leaves the move of all sessions what it needs, if the service goes on
+    // to get as many requests as lately.
+    bool leavesMove(const Rollout& it, TimePoint now) const;
+    // Requests that the new version gets if all sessions move this long before the order's end: new ones, and those
+    // that are cut off at completion and go on there.
+    double costOfMove(const Rollout& it, Duration left) const;
+    // Whether all sessions move now: what the service gets until the order's end is within what is left of the exposure
+    // budget, as the version may be bad without any evidence yet. A passed load test does not bring the move forward,
+    // since the version may fail at a load higher than the tested one.
+    bool isMoveDue(const Rollout& it, TimePoint now) const;
+    // Whether the exposure budget bears also what is cut off on the old version and goes on at the new one.
+    bool bearsCompletion(const Rollout& it, TimePoint now) const;
+    void countAnswers(const ServiceName& service, const catalog::SoftwareVersion& version, std::uint32_t n);
     void evaluate(const Rollout& it, TimePoint now);
     void logStageChange(Rollout& it, TimePoint now) const;
     void reject(const ServiceName& service, const catalog::SoftwareVersion& version, std::string_view reason);
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -308,7 +308,9 @@
     void onReport(
         const fleet::HostReport& before, const fleet::HostReport& report, bool newIncarnation, TimePoint now) override
     {
-        m_balancer.onPeerAnswers(m_peerLoad.onReport(report, newIncarnation), now);
+        const std::vector<fleet::AnswerCounts> answers = m_peerLoad.onReport(report, newIncarnation);
+        m_statusWriter.onPeerAnswers(answers);
+        m_balancer.onPeerAnswers(answers, now);
         m_rollouts.onReport(before, report, now);
     }
     void onHostSilent(const HostId& host) override { m_peerLoad.onSilent(host); }
--- a/src/entry/internal/rolloutstatuswriter.cpp
+++ b/src/entry/internal/rolloutstatuswriter.cpp
@@ -45,7 +45,9 @@
             if (!isNew && m_context.rollouts.isRejected(service, it.upstream.version))
                 continue;
             (isNew ? capacity.newSlots : capacity.oldSlots) += it.upstream.slots;
-            capacity.inFlight += inFlightAt(id);
+            const int inFlight = inFlightAt(id);
+            capacity.inFlight += inFlight;
+            capacity.newInFlight += isNew ? inFlight : 0;
             if (isNew)
                 addNewUpstream(it, capacity, now);
         }
@@ -70,6 +72,20 @@
     capacity.provingInFlight = inFlightAt(id);
 }
 
+void RolloutStatusWriter::onPeerAnswers(const std::vector<fleet::AnswerCounts>& answers)
+{
+    if (m_context.rollouts.services().empty())
+        return;
+    std::map<fleet::ShortHash, std::uint32_t> counts;
+    for (const fleet::AnswerCounts& it : answers)
+        counts[it.upstream] += it.good + it.failed;
+    for (const auto& [id, it] : m_context.catalog.upstreams()) {
+        const auto found = counts.find(fleet::shortHashOf(id));
+        if (found != counts.end())
+            m_context.rollouts.onPeerAnswers(it.upstream.service, it.upstream.version, found->second);
+    }
+}
+
 int RolloutStatusWriter::inFlightAt(const UpstreamId& id) const
 {
     return m_context.balancer.inFlight(id) + static_cast<int>(m_context.peers.at(fleet::shortHashOf(id)).inFlight);
--- a/src/entry/internal/rolloutstatuswriter.h
+++ b/src/entry/internal/rolloutstatuswriter.h
@@ -30,6 +30,8 @@
 
     // `isWriter` is set while this host is the elected writer.
     void tick(bool isWriter, TimePoint now);
+    // Passes the answers that other hosts have reported on to the roll-outs of their services.
+    void onPeerAnswers(const std::vector<fleet::AnswerCounts>& answers);
 
 private:
     void updateCapacity(TimePoint now);
--- a/src/rollout/internal/rolloutcontroller.cpp
+++ b/src/rollout/internal/rolloutcontroller.cpp
@@ -4,6 +4,7 @@
 #include "fireflyhaven/common/hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fireflyhaven::rollout {
 
@@ -21,6 +22,7 @@
 RolloutController::Rollout::Rollout(const catalog::RolloutOrder& it, TimePoint now)
     : order(it)
     , receivedAt(now)
+    , countedSince(now)
     , evaluator(idOf(it))
 {
 }
@@ -188,10 +190,12 @@
         return false;
     if (provingRequests(it, now) >= it.maxProvingRequests || hasPassedProving(it))
         return false;
+    if (!leavesMove(it, now))
+        return false;
     // Short requests put little load on an upstream for their number, which counts against the exposure budget. They
     // are used only in the second half of the proving stage, where the long ones have not sufficed.
-    const TimePoint end = it.receivedAt + moveAge(it);
-    const bool halfOver = now - *it.provingSince > end - now;
+    const Duration untilMove = timeLeft(it, now) - m_options.completionMargin;
+    const bool halfOver = now - *it.provingSince > untilMove;
     return profile == RequestProfile::ShortPrefillLongDecode || halfOver;
 }
 
@@ -262,12 +266,28 @@
 {
     const auto found = m_rollouts.find(answer.service);
     const fleet::ShortHash route = hashOf(answer.route.value());
+    if (answer.kind != AnswerKind::Overdue)
+        countAnswers(answer.service, answer.version, 1);
     if (found == m_rollouts.end() || found->second.order.target != answer.version)
         return m_baseline.add(route, answer);
     found->second.evaluator.onAnswer(route, answer, m_baseline);
     evaluate(found->second, now);
 }
 
+void RolloutController::onPeerAnswers(
+    const ServiceName& service, const catalog::SoftwareVersion& version, std::uint32_t n)
+{
+    countAnswers(service, version, n);
+}
+
+void RolloutController::countAnswers(
+    const ServiceName& service, const catalog::SoftwareVersion& version, std::uint32_t n)
+{
+    const auto it = m_rollouts.find(service);
+    if (it != m_rollouts.end())
+        it->second.exposure.onAnswers(n, it->second.order.target == version ? n : 0);
+}
+
 void RolloutController::evaluate(const Rollout& it, TimePoint now)
 {
     if (it.completed || it.rejected)
@@ -358,8 +378,8 @@
     if (current == Stage::Completed)
         return statusUnlessWritten(catalog::RolloutPhase::Completed);
     const bool oldVersionIdle = oldInFlight == 0;
-    const bool marginReached = now - it.receivedAt >= it.order.duration - m_options.completionMargin;
-    if (current == Stage::Replacing && (oldVersionIdle || marginReached))
+    const bool marginReached = timeLeft(it, now) <= m_options.completionMargin;
+    if (current == Stage::Replacing && (oldVersionIdle || (marginReached && it.mayComplete)))
         return statusUnlessWritten(catalog::RolloutPhase::Completed);
     return statusUnlessWritten(catalog::RolloutPhase::Running);
 }
@@ -412,9 +432,9 @@
     it.answersBeforeProving = it.evaluator.totals().sum();
     it.trialAnswerRate
         = it.answersBeforeProving / std::max(1., secondsOf(now - it.receivedAt - m_options.settlingTime));
-    const double expected = serviceRate(it) * secondsOf(it.order.duration);
-    it.maxProvingRequests
-        = m_options.exposureSlack + m_options.provingExposureFraction * m_options.exposureRatio * expected;
+    const double expected = static_cast<double>(it.exposure.answered()) + expectedRequests(it, timeLeft(it, now));
+    it.maxProvingRequests = m_options.provingSlackFraction * m_options.exposureSlack
+        + m_options.provingExposureFraction * m_options.exposureRatio * expected;
 }
 
 double RolloutController::targetRequests(const Rollout& it)
@@ -428,19 +448,45 @@
     return targetRequests(it) - trialRequests;
 }
 
-Duration RolloutController::moveAge(const Rollout& it) const
+double RolloutController::remainingExposure(const Rollout& it, double slackFraction) const
+{
+    // A host that has started during the order has not counted what was sent before, which may have used up the slack.
+    const bool isCountComplete = it.countedSince - it.receivedAt <= m_options.settlingTime;
+    const double slack = isCountComplete ? slackFraction * m_options.exposureSlack : 0;
+    const ExposureLimit limit { .ratio = m_options.exposureRatio, .slack = slack };
+    return it.exposure.remaining(limit, it.capacity.newInFlight);
+}
+
+double RolloutController::expectedRequests(const Rollout& it, Duration time) const
+{
+    return m_options.rateMargin * it.exposure.rate() * std::max(0., secondsOf(time));
+}
+
+bool RolloutController::leavesMove(const Rollout& it, TimePoint now) const
 {
-    const Duration maxLead = m_options.completionMargin + m_options.maxDrainTime;
-    const double rate = serviceRate(it);
-    if (rate <= 0)
-        return it.order.duration - maxLead;
-    // `exposureSlack` is not part of the budget. It covers the error of the rate, which is estimated from a few
-    // sessions.
-    const double exposureBudget = m_options.exposureRatio * rate * secondsOf(it.order.duration);
-    const double remainingBudget = std::max(0., exposureBudget - targetRequests(it)) * m_options.moveBudgetFraction;
-    const auto allowedLead
-        = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(remainingBudget / rate));
-    return it.order.duration - std::clamp(allowedLead, m_options.completionMargin, maxLead);
+    const double left = remainingExposure(it, m_options.provingSlackFraction);
+    const double growth = m_options.exposureRatio / m_options.rateMargin * it.exposure.rate()
+        * std::max(0., secondsOf(timeLeft(it, now) - m_options.completionMargin));
+    return left > 0 && left + growth > expectedRequests(it, m_options.minMoveTime);
+}
+
+bool RolloutController::isMoveDue(const Rollout& it, TimePoint now) const
+{
+    const Duration left = timeLeft(it, now);
+    return left <= m_options.completionMargin + m_options.maxDrainTime
+        && costOfMove(it, left) <= std::max(0., remainingExposure(it, m_options.moveSlackFraction));
+}
+
+double RolloutController::costOfMove(const Rollout& it, Duration left) const
+{
+    const double resumed = m_options.resumedShare * std::max(0, it.capacity.inFlight - it.capacity.newInFlight);
+    return left > Duration(0) ? expectedRequests(it, left) * (1 - m_options.exposureRatio) + resumed : 0;
+}
+
+bool RolloutController::bearsCompletion(const Rollout& it, TimePoint now) const
+{
+    const Duration left = timeLeft(it, now);
+    return left <= Duration(0) || costOfMove(it, left) <= remainingExposure(it, m_options.completionSlackFraction);
 }
 
 bool RolloutController::hasPassedProving(const Rollout& it) const
@@ -454,8 +500,10 @@
     for (auto& [service, it] : m_rollouts) {
         if (!it.provingSince && mayEndTrial(it, now))
             endTrial(it, now);
+        it.exposure.sample(now);
         if (it.provingSince && !it.sessionsMoved && !it.rejected)
             updateProving(it, now);
+        it.mayComplete = it.mayComplete || (it.sessionsMoved && bearsCompletion(it, now));
         logStageChange(it, now);
     }
 }
@@ -463,14 +511,15 @@
 void RolloutController::updateProving(Rollout& it, TimePoint now)
 {
     const AnswersUnderLoad underLoad = it.evaluator.underLoad(m_baseline);
-    const bool moveDue = now - it.receivedAt >= moveAge(it);
-    if (underLoad.fails() && (moveDue || underLoad.isFailureCertain()))
+    const bool moveDue = isMoveDue(it, now);
+    const bool verdictDue = moveDue || timeLeft(it, now) <= m_options.completionMargin;
+    if (underLoad.fails() && (verdictDue || underLoad.isFailureCertain()))
         return reject(it.order.service, it.order.target, "too many failures under load");
-    if (!moveDue)
-        return;
     // Without a passed load test, a failure rate well above that of the old version is reason enough to reject.
-    if (!hasPassedProving(it) && underLoad.isSuspect())
+    if (verdictDue && !hasPassedProving(it) && underLoad.isSuspect())
         return reject(it.order.service, it.order.target, "failures under load, and load test not passed in time");
+    if (!moveDue)
+        return;
     it.sessionsMoved = true;
 }
 
@@ -487,8 +536,11 @@
         { { "service", it.order.service.value() }, { "version", it.order.target.value() },
             { "stage", stageName(current) }, { "age_ms", (now - it.receivedAt).count() }, { "good", totals.good },
             { "failed", totals.failed }, { "good_under_load", underLoad.good },
-            { "failed_under_load", underLoad.failed }, { "times_compared", times.effectiveAnswers },
-            { "slowdown", times.slowdown }, { "slowdown_error", times.standardError } });
+            { "failed_under_load", underLoad.failed }, { "answered", it.exposure.answered() },
+            { "in_flight", it.capacity.newInFlight },
+            { "budget_left", std::floor(remainingExposure(it, m_options.moveSlackFraction)) },
+            { "times_compared", times.effectiveAnswers }, { "slowdown", times.slowdown },
+            { "slowdown_error", times.standardError } });
 }
 
 }
--- a/src/rollout/tests/rollout_test.cpp
+++ b/src/rollout/tests/rollout_test.cpp
@@ -44,9 +44,11 @@
 // Several hosts that exchange reports, and one service whose new version may be bad.
 class Deployment {
 public:
-    explicit Deployment(int hosts)
+    explicit Deployment(int hosts, std::uint64_t seed = 11)
         : m_controllers(static_cast<std::size_t>(hosts))
         , m_reports(static_cast<std::size_t>(hosts))
+        , m_uncounted(static_cast<std::size_t>(hosts))
+        , m_random(seed)
     {
     }
 
@@ -58,6 +60,14 @@
         }
     }
 
+    // The host forgets everything, and receives the order again.
+    void restart(std::size_t n, TimePoint now)
+    {
+        m_controllers[n] = RolloutController();
+        m_controllers[n].onOrder({ .service = SERVICE, .target = NEW, .duration = ORDER_TIME }, now);
+        m_controllers[n].onCapacity(SERVICE, EQUAL);
+    }
+
     RolloutController& controller(std::size_t n) { return m_controllers[n]; }
 
     // Sends one request of the session through the host; returns whether it went to the new version.
@@ -69,6 +79,7 @@
         const SoftwareVersion version = onNew ? NEW : OLD;
         const UpstreamId upstream("u" + std::to_string(m_random() % 4));
         it.onSessionUsed(SERVICE, session, version, now);
+        onAnswered(host, version);
         // Response times vary at random between half and twice the expected time.
         const double timeRatio = std::exp2(static_cast<double>(m_random() % 200) / 100 - 1);
         const bool bad = onNew && onNewVersion != Answer::Good;
@@ -83,15 +94,22 @@
         return onNew;
     }
 
+    // The host has received an answer of the version, which its next report tells the others.
+    void onAnswered(std::size_t host, const SoftwareVersion& version) { ++m_uncounted[host][version]; }
+
     void exchangeReports(TimePoint now)
     {
         for (std::size_t from = 0; from < m_controllers.size(); ++from) {
             fleet::HostReport report { .host = HostId(std::to_string(from)) };
             m_controllers[from].fillReport(report, now);
             for (std::size_t to = 0; to < m_controllers.size(); ++to) {
-                if (to != from)
-                    m_controllers[to].onReport(m_reports[from], report, now);
+                if (to == from)
+                    continue;
+                m_controllers[to].onReport(m_reports[from], report, now);
+                for (const auto& [version, n] : m_uncounted[from])
+                    m_controllers[to].onPeerAnswers(SERVICE, version, n);
             }
+            m_uncounted[from].clear();
             m_reports[from] = report;
         }
         for (RolloutController& it : m_controllers)
@@ -103,7 +121,8 @@
 private:
     std::vector<RolloutController> m_controllers;
     std::vector<fleet::HostReport> m_reports;
-    std::mt19937_64 m_random { 11 };
+    std::vector<std::map<SoftwareVersion, std::uint32_t>> m_uncounted;
+    std::mt19937_64 m_random;
 };
 
 struct Outcome {
@@ -407,7 +426,7 @@
     // Updates each host with the capacity and the in-flight requests at the upstream under load test.
     void updateCapacity(TimePoint now)
     {
-        std::erase_if(m_running, [&](const Running& it) { return it.until <= now; });
+        endRequests(now);
         for (std::size_t host = 0; host < HOSTS; ++host) {
             m_deployment.controller(host).onCapacity(SERVICE,
                 { .newSlots = 8 * m_slots,
@@ -416,7 +435,9 @@
                     .provingUpstream = UpstreamId("n" + std::to_string(m_proving)),
                     .provingSlots = m_slots,
                     .provingInFlight = inFlight("n" + std::to_string(m_proving)),
-                    .inFlight = static_cast<int>(m_running.size()) });
+                    .inFlight = static_cast<int>(m_running.size()),
+                    .newInFlight = static_cast<int>(std::count_if(m_running.begin(), m_running.end(),
+                        [](const Running& it) { return it.answer.version == NEW; })) });
         }
     }
 
@@ -431,17 +452,17 @@
         const std::string any = std::to_string(m_deployment.random()() % 8);
         const std::string upstream
             = constraint.requiredUpstream ? constraint.requiredUpstream->value() : (onNew ? "n" : "o") + any;
-        m_running.push_back({ .upstream = upstream, .until = now + Duration(1500) });
-        const double load = static_cast<double>(inFlight(upstream)) / m_slots;
+        const double load = static_cast<double>(inFlight(upstream) + 1) / m_slots;
         const bool fails = onNew && load >= failsAbove && m_deployment.random()() % 2 == 0;
         controller.onSessionUsed(SERVICE, session, onNew ? NEW : OLD, now);
-        controller.onAnswer({ .service = SERVICE,
-                                .route = ROUTE,
-                                .version = onNew ? NEW : OLD,
-                                .upstream = UpstreamId(upstream),
-                                .kind = fails ? AnswerKind::Failed : AnswerKind::Good,
-                                .load = load },
-            now);
+        m_running.push_back({ .host = host,
+            .until = now + Duration(1500),
+            .answer = { .service = SERVICE,
+                .route = ROUTE,
+                .version = onNew ? NEW : OLD,
+                .upstream = UpstreamId(upstream),
+                .kind = fails ? AnswerKind::Failed : AnswerKind::Good,
+                .load = load } });
         // A failing upstream is taken out of use, and the load test continues at the next one.
         m_failures += fails ? 1 : 0;
         if (m_failures >= 3) {
@@ -458,14 +479,27 @@
 
 private:
     struct Running {
-        std::string upstream;
+        std::size_t host = 0;
         TimePoint until {};
+        AnswerSample answer;
     };
 
+    // Hands the answers that are due to the hosts that wait for them.
+    void endRequests(TimePoint now)
+    {
+        for (const Running& it : m_running) {
+            if (it.until > now)
+                continue;
+            m_deployment.controller(it.host).onAnswer(it.answer, now);
+            m_deployment.onAnswered(it.host, it.answer.version);
+        }
+        std::erase_if(m_running, [&](const Running& it) { return it.until <= now; });
+    }
+
     int inFlight(const std::string& upstream) const
     {
-        return static_cast<int>(std::count_if(
-            m_running.begin(), m_running.end(), [&](const Running& it) { return it.upstream == upstream; }));
+        return static_cast<int>(std::count_if(m_running.begin(), m_running.end(),
+            [&](const Running& it) { return it.answer.upstream == UpstreamId(upstream); }));
     }
 
     Deployment& m_deployment;
@@ -587,3 +621,57 @@
     cr_assert(it.controller(0).statusDue(SERVICE, 1, end - Duration(1000))->phase == RolloutPhase::Completed);
     cr_assert_lt(service.onNewCount, 0.15 * service.count + 30, "%d of %d", service.onNewCount, service.count);
 }
+
+namespace {
+
+constexpr std::uint64_t SEEDS = 200;
+
+// Counts the seeds in which a version gets more than the bound before its order's end, and prints the largest excess.
+int seedsOverExposureBound(double failsAbove, int slots)
+{
+    int over = 0;
+    double excess = 0;
+    for (std::uint64_t seed = 1; seed <= SEEDS; ++seed) {
+        Deployment it(LoadedService::HOSTS, seed);
+        const LoadedService service = runRolloutUnderLoad(it, failsAbove, slots);
+        const double by = service.onNewCount - (0.15 * service.count + 30);
+        over += by > 0 ? 1 : 0;
+        excess = std::max(excess, by);
+    }
+    cr_log_info("%d of %d seeds over the bound, by %.1f at most", over, static_cast<int>(SEEDS), excess);
+    return over;
+}
+
+}
+
+// Guards against a budget that is estimated from a few sessions: the bound has to hold for each seed, whatever the
+// share of the sessions on trial turns out to be. Seen in under-load-calm on vitalkor-routing.
+Test(rollout, exposureBoundHoldsForEachSeed)
+{
+    constexpr double NEVER = 2;
+    cr_expect_eq(seedsOverExposureBound(NEVER, 2'000), 0);
+    cr_expect_eq(seedsOverExposureBound(NEVER, 24), 0);
+    cr_expect_eq(seedsOverExposureBound(0.48, 64), 0);
+    cr_expect_eq(seedsOverExposureBound(0.72, 14), 0);
+}
+
+// A host that starts in the middle of an order does not know what was sent before. Guards against a grant of the whole
+// slack once more for each restart.
+Test(rollout, restartedHostGetsNoSlackAgain)
+{
+    constexpr Duration RESTART_AGE { 20'000 };
+    constexpr Duration CHECK_AGE = ORDER_TIME - Duration(1100);
+    Deployment it(2);
+    it.order();
+    for (Duration age { 0 }; age <= CHECK_AGE; age += Duration(25)) {
+        const TimePoint now = START + age;
+        if (age == RESTART_AGE)
+            it.restart(1, now);
+        it.request(0, (it.random()() % 400) * 7919 + 1, now, Answer::Good);
+        if (age.count() % 250 == 0)
+            it.exchangeReports(now);
+    }
+    it.exchangeReports(START + CHECK_AGE);
+    cr_assert(it.controller(0).stageOf(SERVICE, START + CHECK_AGE) == Stage::Replacing);
+    cr_assert(it.controller(1).stageOf(SERVICE, START + CHECK_AGE) == Stage::Proving);
+}
