A request that crashes upstreams is a suspect as a whole

Cause: only parts of prompts were suspects, and what was sent without parts was not watched. Class: an identity that does not cover the cause. Change: one evidence for both. Three crashes convict a request however many others are in flight; a part is not convicted where one request was in flight at all of its crashes, and the crashes of a convicted request remain evidence against a part that other requests share with it, but against no request beside it. Requests without a prompt are watched. Refusals are at once, 503 with the time that the verdict has left; log, metrics and /state name the digest and the crashes. Which verdicts are on requests follows the notices as an extension that builds before this one neither send nor read. Evidence: five tests of poisonGuard (a request without a prompt is refused by all hosts and by a restarted one after three crashes, those beside it are not; a popular request and upstreams killed at once convict nobody; a part is found after one of its requests was).

--- a/include/fireflyhaven/common/types/ids.h
+++ b/include/fireflyhaven/common/types/ids.h
@@ -16,6 +16,8 @@
 using SessionId = StrongId<struct SessionTag>;
 // Part of a prompt; the same for all requests that share it.
 using PromptPartId = StrongNumber<struct PromptPartTag>;
+// Identity of a request: a digest of its path, caller and body, the same on all hosts.
+using RequestDigest = StrongNumber<struct RequestDigestTag>;
 using IdempotencyKey = StrongId<struct IdempotencyTag>;
 
 // Position of a record in the platform's log, counted from 1; 0 is the position before the first record.
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -93,7 +93,7 @@
     void dispatch(TimePoint now);
     // Fails the request and returns false if its key is no longer valid.
     bool keyIsValid(TimePoint now);
-    // Fails the request and returns false if its key is no longer valid, or a part of its prompt crashes upstreams.
+    // Fails the request and returns false if its key is no longer valid, or it crashes upstreams.
     bool maySend(TimePoint now);
     // Sends the request or asks for the permit to; returns false if neither is possible.
     bool trySend(TimePoint now);
@@ -152,7 +152,7 @@
     IFlowActions& m_actions;
     const CallerRequest m_request;
     const admission::TicketId m_waitingTicket;
-    const std::vector<PromptPartId> m_promptParts;
+    const poison::RequestSuspects m_suspects;
     RequestTarget m_target;
     Stage m_stage = Stage::Received;
     std::shared_ptr<const catalog::Route> m_route;
@@ -169,7 +169,7 @@
     std::optional<balancing::Ticket> m_ticket;
     AttemptEvidence m_evidence;
     PermitWait m_permit;
-    std::optional<PromptPartId> m_refusedPart;
+    std::optional<poison::Refusal> m_refusal;
     // Upstream of the latest attempt, for the log.
     std::optional<UpstreamId> m_lastUpstream;
     // When the head of the latest attempt's response arrived; no value if it has not.
--- a/include/fireflyhaven/entry/types/flowevent.h
+++ b/include/fireflyhaven/entry/types/flowevent.h
@@ -2,6 +2,7 @@
 
 #include "fireflyhaven/catalog/types/configuration.h"
 #include "fireflyhaven/entry/types/request.h"
+#include "fireflyhaven/poison/poisonguard.h"
 
 #include <string_view>
 
@@ -63,8 +64,8 @@
     std::optional<Duration> sinceHead;
     // Request limit of the upstream, as far as this host knows it.
     std::optional<RequestRate> limit;
-    // Part of the prompt for which the request is refused, because it crashes upstreams.
-    std::optional<PromptPartId> refusedPart;
+    // Set where the request is refused because it, or a part of its prompt, crashes upstreams.
+    std::optional<poison::Refusal> refusal;
     int sends = 0;
     catalog::ConfigurationVersion configuration;
     // Time since this host last confirmed the operator's records; negative if it never did.
--- a/include/fireflyhaven/fleet/types/poisonmessages.h
+++ b/include/fireflyhaven/fleet/types/poisonmessages.h
@@ -6,12 +6,18 @@
 
 namespace fireflyhaven::fleet {
 
-// A part of the prompt of a request that was in flight at a crash.
+// Position of a suspect that is the request as a whole.
+constexpr std::uint8_t WHOLE_REQUEST = UINT8_MAX;
+
+// A part of the prompt of a request that was in flight at a crash, or that request as a whole: the id is then its
+// digest.
 struct SuspectPart {
     PromptPartId part;
-    // Number of parts before it in the prompt.
+    // Number of parts before it in the prompt, or `WHOLE_REQUEST`.
     std::uint8_t position = 0;
 
+    bool isWholeRequest() const { return position == WHOLE_REQUEST; }
+
     friend bool operator==(const SuspectPart&, const SuspectPart&) = default;
     template <typename Archive> void serialize(Archive& archive) { archive(part, position); }
 };
@@ -84,6 +90,8 @@
     ShortList<SignOfLife> signsOfLife;
     ShortList<PartClearance> clearances;
     ShortList<PartVerdict> verdicts;
+    // The verdicts that are on whole requests. Not in the messages of older builds, which end before it.
+    ShortList<PromptPartId> convictedRequests;
 
     bool empty() const
     {
--- a/include/fireflyhaven/poison/crashevidence.h
+++ b/include/fireflyhaven/poison/crashevidence.h
@@ -12,9 +12,10 @@
 
 namespace fireflyhaven::poison {
 
-// A part that the evidence convicts, and the crashes that do.
+// A part or request that the evidence convicts, and the crashes that do.
 struct Culprit {
     PromptPartId part;
+    bool isWholeRequest = false;
     TimePoint lastCrashAt {};
     std::vector<fleet::CrashWitness> crashes;
 };
@@ -34,11 +35,12 @@
     // that it clears.
     bool onAnswered(PromptPartId part, TimePoint answeredAt, fleet::NoticeSource source, TimePoint now);
 
-    // The part that is convicted by the crashes; no value if none is. `wasConvicted` tells parts for which one crash is
-    // enough.
+    // The part or request that is convicted by the crashes; no value if none is. A request that is in all crashes of a
+    // part explains them, so that the part is not convicted. `wasConvicted` tells parts for which one crash is enough.
     std::optional<Culprit> findCulprit(const absl::flat_hash_set<PromptPartId>& wasConvicted) const;
-    // Drops the crashes that a part explains, so that they count against no other part.
-    void removeExplainedBy(PromptPartId part, TimePoint now);
+    // Drops the crashes that a part explains, so that they count against no other part. Those that a request explains
+    // stay, as evidence against a part that other requests share with it.
+    void removeExplainedBy(PromptPartId part, bool isWholeRequest, TimePoint now);
     // The crash of this report is explained by a convicted part.
     void onExplained(const fleet::CrashReport& report, TimePoint now);
     // Tells the other hosts that the part was answered.
@@ -80,8 +82,10 @@
         TimePoint firstAt {};
         TimePoint lastAt {};
         std::vector<fleet::CrashWitness> upstreams;
-        // Parts that are not cleared since, with their positions.
+        // Suspects that are not cleared since, with their positions.
         absl::flat_hash_map<PromptPartId, std::uint8_t> candidates;
+        // How many of them are parts of prompts.
+        std::size_t parts = 0;
     };
     struct Suspicion {
         PromptPartId part;
@@ -89,11 +93,16 @@
         int crashes = 0;
         int requiredCrashes = 0;
         bool answeredBefore = false;
+
+        bool isWholeRequest() const { return position == fleet::WHOLE_REQUEST; }
     };
 
     std::vector<CrashGroup> groups() const;
     // Judges one part by the groups; no value if it is not convicted.
     std::optional<Suspicion> judge(PromptPartId part, const std::vector<CrashGroup>& groups, bool wasConvicted) const;
+    // Whether one request was in flight at all crashes of the suspect: any one of a part's, or a convicted one of a
+    // request's.
+    bool isExplainedByRequest(const Suspicion& suspicion, const std::vector<CrashGroup>& groups) const;
     bool isWithdrawn(const fleet::CrashReport& report, TimePoint at) const;
     void limitAnswered();
 
@@ -103,6 +112,8 @@
     std::vector<Crash> m_crashes;
     // Incarnations whose crash a convicted part explains, and since when that is known.
     absl::flat_hash_map<IncarnationKey, TimePoint> m_explained;
+    // Convicted requests, and when they were.
+    absl::flat_hash_map<PromptPartId, TimePoint> m_convictedRequests;
     absl::flat_hash_map<PromptPartId, Answered> m_answered;
     absl::flat_hash_map<fleet::ShortHash, UpstreamSign> m_signs;
 };
--- a/include/fireflyhaven/poison/partverdicts.h
+++ b/include/fireflyhaven/poison/partverdicts.h
@@ -11,9 +11,11 @@
 
 namespace fireflyhaven::poison {
 
-// A part whose requests are refused, and why.
+// A part whose requests are refused, or a request that is, and why.
 struct Verdict {
+    // The part, or the digest of the request.
     PromptPartId part;
+    bool isWholeRequest = false;
     HostId convictedBy;
     TimePoint lastCrashAt {};
     // When a request with the part was last received, by any host.
@@ -30,10 +32,10 @@
     // A request with these parts has come. Returns the verdict that it falls under, or null.
     const Verdict* find(const std::vector<PromptPartId>& parts, TimePoint now);
     bool contains(PromptPartId part) const { return m_verdicts.contains(part); }
-    // The part was answered without a crash at that time. Returns true if that ends its verdict.
-    bool onAnswered(PromptPartId part, TimePoint answeredAt);
-    // Ends verdicts whose requests have stopped coming; returns their parts.
-    std::vector<PromptPartId> expire(TimePoint now);
+    // The part was answered without a crash at that time. Returns the verdict that this ends, if any.
+    std::optional<Verdict> onAnswered(PromptPartId part, TimePoint answeredAt);
+    // Ends verdicts whose requests have stopped coming; returns them.
+    std::vector<Verdict> expire(TimePoint now);
 
     // Time after which the verdict ends if no further request comes.
     static Duration remaining(const Verdict& verdict, TimePoint now);
@@ -49,6 +51,6 @@
 };
 
 // Reads a verdict that another host has told.
-Verdict verdictOf(const fleet::PartVerdict& notice, TimePoint now);
+Verdict verdictOf(const fleet::PartVerdict& notice, bool isWholeRequest, TimePoint now);
 
 }
--- a/include/fireflyhaven/poison/poisonguard.h
+++ b/include/fireflyhaven/poison/poisonguard.h
@@ -25,13 +25,23 @@
 };
 
 struct Refusal {
+    // The part, or the digest of the request.
     PromptPartId part;
+    bool isWholeRequest = false;
     // Time after which the verdict ends if no further request comes.
     Duration retryAfter {};
 };
 
-// Refuses requests with parts that crash upstreams: gathers this host's evidence, exchanges it with the other hosts,
-// and applies the verdicts of all. Does no I/O.
+// What identifies a request as a suspect.
+struct RequestSuspects {
+    // Parts of the prompt, of which the last is the request's own.
+    std::vector<PromptPartId> parts;
+    // The request as a whole; no value where it is not known.
+    std::optional<RequestDigest> request {};
+};
+
+// Refuses requests with parts that crash upstreams, and requests that do whatever their parts: gathers this host's
+// evidence, exchanges it with the other hosts, and applies the verdicts of all. Does no I/O.
 class PoisonGuard final : public fleet::IPoisonDelegate {
 public:
     explicit PoisonGuard(HostId self)
@@ -39,11 +49,11 @@
     {
     }
 
-    // The refusal of a request with these parts, of which the last is its own; no value if it may be sent.
-    std::optional<Refusal> refusalOf(const std::vector<PromptPartId>& parts, TimePoint now);
+    // The refusal of a request; no value if it may be sent.
+    std::optional<Refusal> refusalOf(const RequestSuspects& suspects, TimePoint now);
 
-    void onSent(AttemptNumber number, const ratelimit::UpstreamIncarnation& upstream,
-        const std::vector<PromptPartId>& parts, TimePoint now);
+    void onSent(AttemptNumber number, const ratelimit::UpstreamIncarnation& upstream, const RequestSuspects& suspects,
+        TimePoint now);
     void onAnswerBegun(AttemptNumber number, TimePoint now);
     void onEnded(AttemptNumber number, AttemptEnd end) { m_watch.onEnded(number, end); }
     void onConnectionLost(AttemptNumber number, const ratelimit::UpstreamIncarnation& upstream, TimePoint now);
--- a/src/entry/internal/decisionlog.cpp
+++ b/src/entry/internal/decisionlog.cpp
@@ -58,8 +58,10 @@
         fields["since_head_ms"] = event.sinceHead ? nlohmann::ordered_json(event.sinceHead->count()) : nullptr;
         fields["prompt_parts"] = partIds(event.request);
     }
-    if (event.refusedPart)
-        fields["refused_part"] = partId(*event.refusedPart);
+    if (event.step == FlowStep::AttemptFailed && event.request.digest)
+        fields["request_digest"] = partId(PromptPartId(event.request.digest->value()));
+    if (event.refusal)
+        fields[event.refusal->isWholeRequest ? "refused_request" : "refused_part"] = partId(event.refusal->part);
     if (event.limit)
         fields["limit_per_second"] = event.limit->perSecond();
     if (event.retryAfter)
@@ -101,8 +103,9 @@
         m_metrics.observe("first_token", event.elapsed, { { "route", route } });
         m_metrics.observe("first_token_prediction_error", std::chrono::abs(*event.observed - *event.expected));
     }
-    if (event.step == FlowStep::Refused && event.refusedPart)
-        m_metrics.count("requests_refused_for_prompt_part");
+    if (event.step == FlowStep::Refused && event.refusal)
+        m_metrics.count(
+            event.refusal->isWholeRequest ? "requests_refused_as_such" : "requests_refused_for_prompt_part");
     if (isTerminal(event.step)) {
         m_metrics.count("requests", 1, { { "route", route }, { "outcome", flowStepName(event.step) } });
         m_metrics.observe("request_duration", event.elapsed, { { "route", route } });
--- a/src/entry/internal/poisonlink.cpp
+++ b/src/entry/internal/poisonlink.cpp
@@ -9,19 +9,20 @@
 
 constexpr Duration CHECK_TIMEOUT { 300 };
 
-const char* eventName(poison::VerdictChange change)
+std::string eventName(const poison::VerdictEvent& event)
 {
-    switch (change) {
+    const std::string subject = event.verdict.isWholeRequest ? "request" : "prompt_part";
+    switch (event.change) {
     case poison::VerdictChange::Convicted:
-        return "prompt_part_convicted";
+        return subject + "_convicted";
     case poison::VerdictChange::Learned:
-        return "prompt_part_verdict_learned";
+        return subject + "_verdict_learned";
     case poison::VerdictChange::Withdrawn:
-        return "prompt_part_verdict_withdrawn";
+        return subject + "_verdict_withdrawn";
     case poison::VerdictChange::Ended:
-        return "prompt_part_verdict_ended";
+        return subject + "_verdict_ended";
     }
-    return "";
+    return subject;
 }
 
 }
@@ -70,13 +71,14 @@
 
 void PoisonLink::log(const poison::VerdictEvent& event) const
 {
-    m_context.metrics.count("prompt_part_verdicts", 1, { { "change", eventName(event.change) } });
-    telemetry::LogFields fields { { "part", partId(event.verdict.part) } };
+    m_context.metrics.count("prompt_part_verdicts", 1, { { "change", eventName(event) } });
+    telemetry::LogFields fields { { event.verdict.isWholeRequest ? "request_digest" : "part",
+        partId(event.verdict.part) } };
     if (!event.verdict.crashes.empty()) {
         fields["convicted_by"] = event.verdict.convictedBy.value();
         fields["crashes"] = crashList(m_context.catalog, event.verdict);
     }
-    telemetry::logEvent(spdlog::level::warn, eventName(event.change), fields);
+    telemetry::logEvent(spdlog::level::warn, eventName(event), fields);
 }
 
 }
--- a/src/entry/internal/requestdriver.cpp
+++ b/src/entry/internal/requestdriver.cpp
@@ -1,14 +1,27 @@
 #include "requestdriver.h"
 
+#include "requestdigest.h"
+
 namespace fireflyhaven::entry {
 
+namespace {
+
+CallerRequest decodeRequest(const IWireCodec& codec, const http::Exchange& exchange)
+{
+    CallerRequest request = codec.decodeRequest(exchange.head());
+    request.digest = digestOf(request, exchange.head(), exchange.body() ? *exchange.body() : std::string());
+    return request;
+}
+
+}
+
 RequestDriver::RequestDriver(
     DriverContext& context, std::shared_ptr<http::Exchange> exchange, std::function<void()> onDone)
     : m_context(context)
     , m_exchange(std::move(exchange))
     , m_onDone(std::move(onDone))
     , m_attemptId(context.codec.decodeRequest(m_exchange->head()).attempt)
-    , m_flow(context.flowContext, *this, context.codec.decodeRequest(m_exchange->head()))
+    , m_flow(context.flowContext, *this, decodeRequest(context.codec, *m_exchange))
     , m_timer(context.loop)
 {
     m_exchange->setObserver(this);
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -22,12 +22,12 @@
 // Failed connections to upstreams after which a request is failed.
 constexpr int MAX_CONNECT_FAILURES = 4;
 
-std::vector<PromptPartId> promptPartIds(const CallerRequest& request)
+poison::RequestSuspects suspectsOf(const CallerRequest& request)
 {
-    std::vector<PromptPartId> ids;
+    poison::RequestSuspects suspects { .parts = {}, .request = request.digest };
     for (const balancing::PromptPart& it : request.promptParts)
-        ids.push_back(it.id);
-    return ids;
+        suspects.parts.push_back(it.id);
+    return suspects;
 }
 
 poison::AttemptNumber attemptNumber(const balancing::Ticket& ticket) { return poison::AttemptNumber(ticket.number); }
@@ -39,7 +39,7 @@
     , m_actions(actions)
     , m_request(std::move(request))
     , m_waitingTicket(context.nextTicket++)
-    , m_promptParts(promptPartIds(m_request))
+    , m_suspects(suspectsOf(m_request))
     , m_target(context, m_request)
     , m_evidence(context, m_request, m_target)
     , m_permit(context, m_waitingTicket)
@@ -126,11 +126,11 @@
 {
     if (!keyIsValid(now))
         return false;
-    const auto refusal = m_context.poisonGuard.refusalOf(m_promptParts, now);
-    if (!refusal)
+    m_refusal = m_context.poisonGuard.refusalOf(m_suspects, now);
+    if (!m_refusal)
         return true;
-    m_refusedPart = refusal->part;
-    failRequest("a part of the prompt crashes upstreams", now, refusal->retryAfter);
+    failRequest(m_refusal->isWholeRequest ? "the request crashes upstreams" : "a part of the prompt crashes upstreams",
+        now, m_refusal->retryAfter);
     return false;
 }
 
@@ -292,7 +292,7 @@
     }
     m_evidence.onSent(*target, now);
     m_context.poisonGuard.onSent(attemptNumber(*m_ticket),
-        ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs), m_promptParts, now);
+        ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs), m_suspects, now);
     FlowEvent sent = event(FlowStep::Sent);
     sent.expected = m_ticket->expectedTimeToFirstToken();
     sent.limit = m_context.limits.limitOf(ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs));
@@ -350,7 +350,7 @@
 // The upstream may have crashed. A host that is cut off loses connections to sound upstreams.
 void RequestFlow::reportConnectionLost(TimePoint now)
 {
-    if (m_promptParts.size() < 2 || m_context.reach.isCutOff())
+    if (m_context.reach.isCutOff())
         return;
     m_context.poisonGuard.onConnectionLost(
         attemptNumber(*m_ticket), ratelimit::incarnationOf(m_ticket->upstream, m_ticket->upstreamStartedAtMs), now);
@@ -508,7 +508,7 @@
 {
     FlowEvent it { .step = step, .request = m_request, .route = m_route.get(), .reason = reason, .sends = m_sends };
     it.upstream = m_lastUpstream;
-    it.refusedPart = m_refusedPart;
+    it.refusal = m_refusal;
     if (m_target.selectsModel())
         it.model = m_target.modelName();
     return it;
--- a/src/entry/internal/statuspages.cpp
+++ b/src/entry/internal/statuspages.cpp
@@ -88,8 +88,9 @@
         evacuated.push_back(it.value());
     auto& refusedParts = document["refused_parts"] = nlohmann::ordered_json::array();
     for (const poison::Verdict& it : m_context.poisonGuard.verdicts())
-        refusedParts.push_back({ { "part", partId(it.part) }, { "convicted_by", it.convictedBy.value() },
-            { "idle_ms", (now - it.lastSeenAt).count() }, { "crashes", crashList(m_context.catalog, it) } });
+        refusedParts.push_back(
+            { { it.isWholeRequest ? "request" : "part", partId(it.part) }, { "convicted_by", it.convictedBy.value() },
+                { "idle_ms", (now - it.lastSeenAt).count() }, { "crashes", crashList(m_context.catalog, it) } });
     auto& rollouts = document["rollouts"] = nlohmann::ordered_json::array();
     for (const auto& [service, it] : m_context.catalog.rollouts()) {
         nlohmann::ordered_json row { { "service", service.value() }, { "version", it.order.target.value() } };
--- a/src/poison/internal/crashevidence.cpp
+++ b/src/poison/internal/crashevidence.cpp
@@ -183,6 +183,10 @@
                 group.candidates[suspect.part] = suspect.position;
         }
     }
+    for (CrashGroup& group : groups) {
+        group.parts = static_cast<std::size_t>(std::count_if(group.candidates.begin(), group.candidates.end(),
+            [](const auto& it) { return it.second != fleet::WHOLE_REQUEST; }));
+    }
     return groups;
 }
 
@@ -197,16 +201,37 @@
         if (candidate != it.candidates.end()) {
             ++suspicion.crashes;
             suspicion.position = candidate->second;
-            fewestCandidates = std::min(fewestCandidates, it.candidates.size());
+            fewestCandidates = std::min(fewestCandidates, it.parts);
         }
         groupsSinceFirst += suspicion.crashes > 0 ? 1 : 0;
     }
     suspicion.answeredBefore = m_answered.contains(part);
-    suspicion.requiredCrashes = wasConvicted
-        ? 1
-        : requiredCrashes(fewestCandidates) + (suspicion.answeredBefore ? EXTRA_CRASHES_IF_ANSWERED_BEFORE : 0);
+    // The same request at several crashes by chance is rare, however many others are in flight.
+    const int required = suspicion.isWholeRequest() ? MIN_CRASHES : requiredCrashes(fewestCandidates);
+    suspicion.requiredCrashes
+        = wasConvicted ? 1 : required + (suspicion.answeredBefore ? EXTRA_CRASHES_IF_ANSWERED_BEFORE : 0);
     const bool explains = suspicion.crashes >= MIN_EXPLAINED_SHARE * groupsSinceFirst;
-    return suspicion.crashes >= suspicion.requiredCrashes && explains ? std::optional(suspicion) : std::nullopt;
+    const bool isConvicted
+        = suspicion.crashes >= suspicion.requiredCrashes && explains && !isExplainedByRequest(suspicion, groups);
+    return isConvicted ? std::optional(suspicion) : std::nullopt;
+}
+
+bool CrashEvidence::isExplainedByRequest(const Suspicion& suspicion, const std::vector<CrashGroup>& groups) const
+{
+    std::optional<absl::flat_hash_set<PromptPartId>> inAll;
+    for (const CrashGroup& group : groups) {
+        if (!group.candidates.contains(suspicion.part))
+            continue;
+        absl::flat_hash_set<PromptPartId> requests;
+        for (const auto& [id, position] : group.candidates) {
+            const bool counts = position == fleet::WHOLE_REQUEST && id != suspicion.part
+                && (!suspicion.isWholeRequest() || m_convictedRequests.contains(id));
+            if (counts && (!inAll || inAll->contains(id)))
+                requests.insert(id);
+        }
+        inAll = std::move(requests);
+    }
+    return inAll && !inAll->empty();
 }
 
 std::optional<Culprit> CrashEvidence::findCulprit(const absl::flat_hash_set<PromptPartId>& wasConvicted) const
@@ -214,8 +239,10 @@
     const std::vector<CrashGroup> all = groups();
     absl::flat_hash_set<PromptPartId> parts;
     for (const CrashGroup& group : all) {
-        for (const auto& [part, position] : group.candidates)
-            parts.insert(part);
+        for (const auto& [part, position] : group.candidates) {
+            if (!m_convictedRequests.contains(part))
+                parts.insert(part);
+        }
     }
     std::vector<Suspicion> suspicions;
     for (const PromptPartId part : parts) {
@@ -234,7 +261,7 @@
     // One more crash may tell the two apart.
     if (tied && worst->crashes <= worst->requiredCrashes)
         return std::nullopt;
-    Culprit culprit { .part = worst->part };
+    Culprit culprit { .part = worst->part, .isWholeRequest = worst->isWholeRequest() };
     for (const CrashGroup& group : all) {
         if (!group.candidates.contains(worst->part))
             continue;
@@ -244,8 +271,12 @@
     return culprit;
 }
 
-void CrashEvidence::removeExplainedBy(PromptPartId part, TimePoint now)
+void CrashEvidence::removeExplainedBy(PromptPartId part, bool isWholeRequest, TimePoint now)
 {
+    if (isWholeRequest) {
+        m_convictedRequests[part] = now;
+        return;
+    }
     for (const Crash& it : m_crashes) {
         if (std::any_of(it.parts.begin(), it.parts.end(), [&](const fleet::SuspectPart& s) { return s.part == part; }))
             m_explained[{ it.upstream, it.startedAtMs }] = now;
@@ -288,6 +319,7 @@
 {
     std::erase_if(m_crashes, [now](const Crash& it) { return now - it.at >= CRASH_RETENTION; });
     absl::erase_if(m_answered, [now](const auto& entry) { return now - entry.second.at >= ANSWERED_RETENTION; });
+    absl::erase_if(m_convictedRequests, [now](const auto& entry) { return now - entry.second >= CRASH_RETENTION; });
     absl::erase_if(m_explained, [now](const auto& entry) { return now - entry.second >= CRASH_RETENTION; });
     absl::erase_if(m_signs, [now](const auto& entry) { return now - entry.second.sentAt >= SIGN_RETENTION; });
 }
--- a/src/poison/internal/partverdicts.cpp
+++ b/src/poison/internal/partverdicts.cpp
@@ -17,9 +17,10 @@
 
 }
 
-Verdict verdictOf(const fleet::PartVerdict& notice, TimePoint now)
+Verdict verdictOf(const fleet::PartVerdict& notice, bool isWholeRequest, TimePoint now)
 {
     return { .part = notice.part,
+        .isWholeRequest = isWholeRequest,
         .convictedBy = notice.convictedBy,
         .lastCrashAt = now - Duration(notice.crashAgeMs),
         .lastSeenAt = now - Duration(notice.idleMs),
@@ -55,27 +56,28 @@
     return nullptr;
 }
 
-bool PartVerdicts::onAnswered(PromptPartId part, TimePoint answeredAt)
+std::optional<Verdict> PartVerdicts::onAnswered(PromptPartId part, TimePoint answeredAt)
 {
     m_former.erase(part);
     const auto it = m_verdicts.find(part);
     if (it == m_verdicts.end() || answeredAt <= it->second.lastCrashAt)
-        return false;
+        return std::nullopt;
+    Verdict ended = std::move(it->second);
     m_verdicts.erase(it);
-    return true;
+    return ended;
 }
 
-std::vector<PromptPartId> PartVerdicts::expire(TimePoint now)
+std::vector<Verdict> PartVerdicts::expire(TimePoint now)
 {
-    std::vector<PromptPartId> ended;
+    std::vector<Verdict> ended;
     for (const auto& [part, it] : m_verdicts) {
         if (remaining(it, now) <= Duration(0))
-            ended.push_back(part);
+            ended.push_back(it);
     }
-    for (const PromptPartId part : ended) {
-        m_verdicts.erase(part);
+    for (const Verdict& it : ended) {
+        m_verdicts.erase(it.part);
         if (m_former.size() < MAX_FORMER_PARTS)
-            m_former.insert(part);
+            m_former.insert(it.part);
     }
     return ended;
 }
@@ -87,12 +89,15 @@
 
 void PartVerdicts::addNotices(fleet::PoisonNotices& notices, TimePoint now) const
 {
-    for (const auto& [part, it] : m_verdicts)
+    for (const auto& [part, it] : m_verdicts) {
+        if (it.isWholeRequest)
+            notices.convictedRequests.items.push_back(part);
         notices.verdicts.items.push_back({ .part = part,
             .convictedBy = it.convictedBy,
             .crashAgeMs = ageOf(it.lastCrashAt, now),
             .idleMs = ageOf(it.lastSeenAt, now),
             .crashes = { it.crashes } });
+    }
 }
 
 std::vector<Verdict> PartVerdicts::all() const
--- a/src/poison/internal/poisonguard.cpp
+++ b/src/poison/internal/poisonguard.cpp
@@ -8,32 +8,40 @@
 
 namespace {
 
-// The parts that other requests may share: all but the last.
-std::vector<fleet::SuspectPart> sharedParts(const std::vector<PromptPartId>& parts)
+// The parts that other requests may share, which are all but the last, and the request as a whole.
+std::vector<fleet::SuspectPart> suspectParts(const RequestSuspects& suspects)
 {
-    std::vector<fleet::SuspectPart> shared;
-    for (std::size_t n = 0; n + 1 < parts.size(); ++n)
-        shared.push_back(
-            { .part = parts[n], .position = static_cast<std::uint8_t>(std::min<std::size_t>(n, UINT8_MAX)) });
-    return shared;
+    constexpr std::size_t MAX_POSITION = fleet::WHOLE_REQUEST - 1;
+    std::vector<fleet::SuspectPart> found;
+    for (std::size_t n = 0; n + 1 < suspects.parts.size(); ++n)
+        found.push_back(
+            { .part = suspects.parts[n], .position = static_cast<std::uint8_t>(std::min(n, MAX_POSITION)) });
+    if (suspects.request)
+        found.push_back({ .part = PromptPartId(suspects.request->value()), .position = fleet::WHOLE_REQUEST });
+    return found;
 }
 
 }
 
-std::optional<Refusal> PoisonGuard::refusalOf(const std::vector<PromptPartId>& parts, TimePoint now)
+std::optional<Refusal> PoisonGuard::refusalOf(const RequestSuspects& suspects, TimePoint now)
 {
-    if (m_verdicts.empty() || parts.empty())
+    if (m_verdicts.empty())
         return std::nullopt;
-    const Verdict* verdict = m_verdicts.find({ parts.begin(), parts.end() - 1 }, now);
+    std::vector<PromptPartId> ids;
+    for (const fleet::SuspectPart& it : suspectParts(suspects))
+        ids.push_back(it.part);
+    const Verdict* verdict = m_verdicts.find(ids, now);
     if (!verdict)
         return std::nullopt;
-    return Refusal { .part = verdict->part, .retryAfter = PartVerdicts::remaining(*verdict, now) };
+    return Refusal { .part = verdict->part,
+        .isWholeRequest = verdict->isWholeRequest,
+        .retryAfter = PartVerdicts::remaining(*verdict, now) };
 }
 
 void PoisonGuard::onSent(AttemptNumber number, const ratelimit::UpstreamIncarnation& upstream,
-    const std::vector<PromptPartId>& parts, TimePoint now)
+    const RequestSuspects& suspects, TimePoint now)
 {
-    m_watch.onSent(number, { .upstream = upstream, .sentAt = now, .parts = sharedParts(parts) });
+    m_watch.onSent(number, { .upstream = upstream, .sentAt = now, .parts = suspectParts(suspects) });
 }
 
 void PoisonGuard::onAnswerBegun(AttemptNumber number, TimePoint now)
@@ -98,7 +106,7 @@
 bool PoisonGuard::isExplained(const fleet::CrashReport& report) const
 {
     return std::any_of(report.parts.items.begin(), report.parts.items.end(),
-        [this](const fleet::SuspectPart& it) { return m_verdicts.contains(it.part); });
+        [this](const fleet::SuspectPart& it) { return !it.isWholeRequest() && m_verdicts.contains(it.part); });
 }
 
 void PoisonGuard::onCrash(const fleet::CrashReport& report, NoticeSource source, TimePoint now)
@@ -113,11 +121,13 @@
 {
     if (m_evidence.onAnswered(part, answeredAt, source, now))
         onEvidence();
-    if (!m_verdicts.onAnswered(part, answeredAt))
+    const auto ended = m_verdicts.onAnswered(part, answeredAt);
+    if (!ended)
         return;
     m_evidence.announceAnswered(part, now);
     m_hasNews = true;
-    m_events.push_back({ .change = VerdictChange::Withdrawn, .verdict = { .part = part } });
+    m_events.push_back(
+        { .change = VerdictChange::Withdrawn, .verdict = { .part = part, .isWholeRequest = ended->isWholeRequest } });
 }
 
 void PoisonGuard::onEvidence()
@@ -128,7 +138,7 @@
 
 void PoisonGuard::onVerdict(const Verdict& verdict, VerdictChange change, TimePoint now)
 {
-    m_evidence.removeExplainedBy(verdict.part, now);
+    m_evidence.removeExplainedBy(verdict.part, verdict.isWholeRequest, now);
     if (!m_verdicts.add(verdict))
         return;
     m_hasNews = true;
@@ -152,8 +162,10 @@
     }
     for (const fleet::PartClearance& it : notices.clearances.items)
         onAnswered(it.part, now - Duration(it.ageMs), source, now);
+    const std::vector<PromptPartId>& requests = notices.convictedRequests.items;
     for (const fleet::PartVerdict& it : notices.verdicts.items) {
-        const Verdict verdict = verdictOf(it, now);
+        const bool isWholeRequest = std::find(requests.begin(), requests.end(), it.part) != requests.end();
+        const Verdict verdict = verdictOf(it, isWholeRequest, now);
         const auto answered = m_evidence.answeredAt(it.part);
         const bool isCleared = answered && *answered > verdict.lastCrashAt;
         if (!isCleared && PartVerdicts::remaining(verdict, now) > Duration(0))
@@ -175,6 +187,7 @@
         return;
     while (const auto culprit = m_evidence.findCulprit(m_verdicts.formerlyConvicted())) {
         const Verdict verdict { .part = culprit->part,
+            .isWholeRequest = culprit->isWholeRequest,
             .convictedBy = m_self,
             .lastCrashAt = culprit->lastCrashAt,
             .lastSeenAt = now,
@@ -190,8 +203,9 @@
             onAnswered(it.part, *attempt.headAt, NoticeSource::ThisHost, now);
     }
     judge(now);
-    for (const PromptPartId part : m_verdicts.expire(now))
-        m_events.push_back({ .change = VerdictChange::Ended, .verdict = { .part = part } });
+    for (const Verdict& it : m_verdicts.expire(now))
+        m_events.push_back(
+            { .change = VerdictChange::Ended, .verdict = { .part = it.part, .isWholeRequest = it.isWholeRequest } });
     m_evidence.expire(now);
 }
 
--- a/src/poison/tests/crashevidence_test.cpp
+++ b/src/poison/tests/crashevidence_test.cpp
@@ -171,7 +171,7 @@
         evidence.onCrash(crash(n, { DEADLY, document }), NoticeSource::ThisHost, START + Duration(1000) * n);
     const auto culprit = evidence.findCulprit(NONE_CONVICTED);
     cr_assert(culprit && culprit->part == DEADLY && culprit->crashes.size() == 3);
-    evidence.removeExplainedBy(DEADLY, START + Duration(3100));
+    evidence.removeExplainedBy(DEADLY, false, START + Duration(3100));
     cr_assert(evidence.crashes() == 0);
     // A report of the same crash that comes late.
     cr_assert(!evidence.onCrash(crash(3, { document }, "b"), NoticeSource::OwnDataCentre, START + Duration(3200)));
--- a/src/poison/tests/poisonfleet_test.cpp
+++ b/src/poison/tests/poisonfleet_test.cpp
@@ -100,7 +100,7 @@
     {
         const AttemptNumber number(++m_lastAttempt);
         const ratelimit::UpstreamIncarnation incarnation { .upstream = upstream };
-        it.guard->onSent(number, incarnation, { FIRST, DEADLY, PromptPartId(1000 + m_lastAttempt) }, now);
+        it.guard->onSent(number, incarnation, { .parts = { FIRST, DEADLY, PromptPartId(1000 + m_lastAttempt) } }, now);
         it.guard->onAnswerBegun(number, now);
         it.guard->onConnectionLost(number, incarnation, now + Duration(50));
         it.guard->onCrashChecked(incarnation, true, now + Duration(50));
@@ -108,7 +108,7 @@
     std::size_t refusingHosts()
     {
         return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [this](SimulatedHost& it) {
-            return it.guard->refusalOf({ FIRST, DEADLY, PromptPartId(5) }, now).has_value();
+            return it.guard->refusalOf({ .parts = { FIRST, DEADLY, PromptPartId(5) } }, now).has_value();
         }));
     }
 
--- a/src/poison/tests/poisonguard_test.cpp
+++ b/src/poison/tests/poisonguard_test.cpp
@@ -48,8 +48,8 @@
     AttemptNumber send(std::size_t host, std::uint32_t to, std::uint64_t part)
     {
         const AttemptNumber number(++m_lastAttempt);
-        guards[host].onSent(
-            number, upstream(to), { FIRST, PromptPartId(part), PromptPartId(1'000'000 + m_lastAttempt) }, now);
+        guards[host].onSent(number, upstream(to),
+            { .parts = { FIRST, PromptPartId(part), PromptPartId(1'000'000 + m_lastAttempt) } }, now);
         return number;
     }
     void answer(std::size_t host, AttemptNumber number) { guards[host].onAnswerBegun(number, now); }
@@ -70,7 +70,7 @@
     }
     bool refuses(std::size_t host, PromptPartId part)
     {
-        return guards[host].refusalOf({ FIRST, part, PromptPartId(99) }, now).has_value();
+        return guards[host].refusalOf({ .parts = { FIRST, part, PromptPartId(99) } }, now).has_value();
     }
     bool allRefuse(PromptPartId part)
     {
@@ -255,3 +255,121 @@
     cr_assert(it.noneRefuses(PromptPartId(66)));
     cr_assert_eq(it.guards[0].knownCrashes(), 0);
 }
+
+namespace {
+
+const RequestDigest DEADLY_REQUEST(0x5eed);
+
+AttemptNumber sendWhole(Fleet& it, std::size_t host, std::uint32_t to, RequestDigest request, std::uint64_t n)
+{
+    const AttemptNumber number(10'000 + n);
+    it.guards[host].onSent(number, upstream(to), { .parts = {}, .request = request }, it.now);
+    return number;
+}
+
+bool refusesWhole(Fleet& it, std::size_t host, RequestDigest request)
+{
+    return it.guards[host].refusalOf({ .parts = {}, .request = request }, it.now).has_value();
+}
+
+}
+
+// A request without any prompt crashes each upstream before the head of an answer. Guards against upstreams that crash
+// one after the other under one request that comes again at any host (deadly.toml with a class of orders).
+Test(poisonGuard, requestThatCrashesThreeUpstreamsIsRefusedByAllHosts)
+{
+    Fleet it(6);
+    for (std::uint32_t n = 0; n < 3; ++n) {
+        for (std::size_t host = 0; host < 6; ++host)
+            cr_assert_not(refusesWhole(it, host, DEADLY_REQUEST));
+        // Other orders are in flight beside it, each once.
+        const std::size_t host = n * 2;
+        const AttemptNumber deadly = sendWhole(it, host, n, DEADLY_REQUEST, 2 * n);
+        const AttemptNumber other = sendWhole(it, host, n, RequestDigest(100 + n), 2 * n + 1);
+        it.lose(host, deadly, n);
+        it.lose(host, other, n);
+        it.advance(Duration(600));
+    }
+    for (std::size_t host = 0; host < 6; ++host) {
+        cr_assert(refusesWhole(it, host, DEADLY_REQUEST), "host %zu", host);
+        for (std::uint64_t n = 0; n < 3; ++n)
+            cr_assert_not(refusesWhole(it, host, RequestDigest(100 + n)), "a request in flight beside it");
+    }
+    it.guards.emplace_back(HostId("restarted"));
+    it.advance(Duration(200));
+    cr_assert(refusesWhole(it, 6, DEADLY_REQUEST), "restarted hosts learn the verdict");
+}
+
+// The same sound request is asked for all the time. Guards against two equal requests as evidence against each other.
+Test(poisonGuard, requestThatIsAnsweredBetweenCrashesIsNotRefused)
+{
+    Fleet it(3);
+    const RequestDigest popular(7);
+    std::uint64_t attempts = 0;
+    for (std::uint32_t n = 0; n < 12; ++n) {
+        it.lose(n % 3, sendWhole(it, n % 3, n, popular, ++attempts), n);
+        const AttemptNumber sound = sendWhole(it, (n + 1) % 3, SOUND_UPSTREAM, popular, ++attempts);
+        it.answer((n + 1) % 3, sound);
+        it.guards[(n + 1) % 3].onEnded(sound, AttemptEnd::Answered);
+        it.advance(Duration(1500));
+        for (std::size_t host = 0; host < 3; ++host)
+            cr_assert_not(refusesWhole(it, host, popular), "after crash %u", n + 1);
+    }
+}
+
+// Guards against refusing sound requests because upstreams are killed at one moment.
+Test(poisonGuard, upstreamsKilledAtOnceRefuseNoRequest)
+{
+    Fleet it(3);
+    std::vector<std::tuple<std::size_t, AttemptNumber, std::uint32_t>> open;
+    for (std::uint32_t n = 0; n < 18; ++n)
+        open.emplace_back(n % 3, sendWhole(it, n % 3, n, RequestDigest(1 + n % 2), n), n);
+    for (const auto& [host, number, at] : open)
+        it.lose(host, number, at);
+    it.advance(Duration(1000));
+    for (const std::uint64_t request : { 1, 2 })
+        cr_assert_not(refusesWhole(it, 0, RequestDigest(request)));
+}
+
+// The request's parts are in the same crashes. Guards against refusing the sound requests that share them.
+Test(poisonGuard, partsOfCrashingRequestAreNotRefused)
+{
+    Fleet it(2);
+    const PromptPartId shared(0xabc);
+    for (std::uint32_t n = 0; n < 3; ++n) {
+        const AttemptNumber number(n + 1);
+        it.guards[0].onSent(
+            number, upstream(n), { .parts = { FIRST, shared, PromptPartId(9) }, .request = DEADLY_REQUEST }, it.now);
+        it.lose(0, number, n);
+        it.advance(Duration(700));
+    }
+    const auto refusal = [&](RequestDigest request) {
+        return it.guards[1].refusalOf({ .parts = { FIRST, shared, PromptPartId(5) }, .request = request }, it.now);
+    };
+    cr_assert(refusal(DEADLY_REQUEST) && refusal(DEADLY_REQUEST)->isWholeRequest);
+    cr_assert_not(refusal(RequestDigest(1)).has_value());
+}
+
+// A part crashes upstreams in whatever request. Guards against a verdict on its first request that hides the part.
+Test(poisonGuard, partIsConvictedAfterOneOfItsRequests)
+{
+    Fleet it(2);
+    std::uint64_t attempts = 0;
+    const auto crash = [&](RequestDigest request) {
+        const auto at = static_cast<std::uint32_t>(++attempts);
+        const AttemptNumber number(attempts);
+        it.guards[0].onSent(number, upstream(at),
+            { .parts = { FIRST, DEADLY, PromptPartId(500 + request.value()) }, .request = request }, it.now);
+        it.lose(0, number, at);
+        const AttemptNumber sound = it.send(1, SOUND_UPSTREAM, 77);
+        it.answer(1, sound);
+        it.guards[1].onEnded(sound, AttemptEnd::Answered);
+        it.advance(Duration(1200));
+    };
+    for (int n = 0; n < 3; ++n)
+        crash(RequestDigest(1));
+    crash(RequestDigest(2));
+    crash(RequestDigest(3));
+    cr_assert(it.allRefuse(DEADLY));
+    cr_assert_not(it.refuses(0, FIRST));
+}
