Exposure: completion counts what it cuts off; test hosts get different ports

The load test leaves the move 0.6 s of the service's requests instead of 0.4 s. All tests of rollout pass; a share of 1 fails the two that want a completion before the end.

--- a/include/fireflyhaven/rollout/rolloutcontroller.h
+++ b/include/fireflyhaven/rollout/rolloutcontroller.h
@@ -22,7 +22,7 @@
     // Fraction of `exposureSlack` that the load test may use.
     double provingSlackFraction = 0.4;
     // The load test leaves at least what the service gets in this time, for the move of all sessions.
-    Duration minMoveTime { 400 };
+    Duration minMoveTime { 600 };
     // Fraction of `exposureSlack` that the move of all sessions may use. The rest covers requests that are not counted
     // yet.
     double moveSlackFraction = 0.8;
@@ -30,9 +30,11 @@
     double completionSlackFraction = 1.0;
     // Requests that are expected until the order's end, relative to the rate of the last seconds.
     double rateMargin = 1.1;
-    // Share of the requests in flight on the old version that go on at the new one after completion, where they are cut
-    // off.
+    // Share of the requests in flight on the old version at the move of all sessions that still run at completion. They
+    // are cut off then, and go on at the new version.
     double resumedShare = 0.3;
+    // Share of the requests that are cut off at completion that go on at the new version before the order's end.
+    double cutOffShare = 0.75;
     // Limit of the trial's share of sessions in deployments with many hosts, where the hosts have to agree on the
     // version of each of these sessions.
     double maxTrialShareManyHosts = 0.03;
@@ -227,6 +229,8 @@
     // Whether a further request of the load test leaves the move of all sessions what it needs, if the service goes on
     // to get as many requests as lately.
     bool leavesMove(const Rollout& it, TimePoint now) const;
+    // What the requests of the service in the time take of the budget, if all go to the new version. They raise it too.
+    double newRequests(const Rollout& it, Duration time) const;
     // Requests that the new version gets if all sessions move this long before the order's end: new ones, and those
     // that are cut off at completion and go on there.
     double costOfMove(const Rollout& it, Duration left) const;
--- a/src/http/tests/loopfixture.h
+++ b/src/http/tests/loopfixture.h
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <list>
 #include <string>
 
 #include <criterion/criterion.h>
@@ -53,10 +54,17 @@
     }
     // Endpoint on which nothing listens. `ip` must belong to this process alone, so that no other process takes the
     // port.
-    Endpoint freeEndpoint(const std::string& ip)
+    Endpoint freeEndpoint(const std::string& ip) { return freeEndpoints<1>(ip).front(); }
+    // Several such endpoints, all different: each port is held until all are found.
+    template <std::size_t N> std::array<Endpoint, N> freeEndpoints(const std::string& ip)
     {
-        Tcp::acceptor probe(m_io, { boost::asio::ip::make_address(ip), 0 });
-        return { .ip = ip, .port = probe.local_endpoint().port() };
+        std::list<Tcp::acceptor> probes;
+        std::array<Endpoint, N> endpoints;
+        for (Endpoint& it : endpoints) {
+            probes.emplace_back(m_io, Tcp::endpoint(boost::asio::ip::make_address(ip), 0));
+            it = { .ip = ip, .port = probes.back().local_endpoint().port() };
+        }
+        return endpoints;
     }
     boost::asio::io_context& io() { return m_io; }
     const SystemClock& clock() const { return m_clock; }
--- a/src/rollout/internal/rolloutcontroller.cpp
+++ b/src/rollout/internal/rolloutcontroller.cpp
@@ -477,16 +477,23 @@
         && costOfMove(it, left) <= std::max(0., remainingExposure(it, m_options.moveSlackFraction));
 }
 
+double RolloutController::newRequests(const Rollout& it, Duration time) const
+{
+    return expectedRequests(it, time) * (1 - m_options.exposureRatio);
+}
+
 double RolloutController::costOfMove(const Rollout& it, Duration left) const
 {
     const double resumed = m_options.resumedShare * std::max(0, it.capacity.inFlight - it.capacity.newInFlight);
-    return left > Duration(0) ? expectedRequests(it, left) * (1 - m_options.exposureRatio) + resumed : 0;
+    return left > Duration(0) ? newRequests(it, left) + resumed : 0;
 }
 
 bool RolloutController::bearsCompletion(const Rollout& it, TimePoint now) const
 {
     const Duration left = timeLeft(it, now);
-    return left <= Duration(0) || costOfMove(it, left) <= remainingExposure(it, m_options.completionSlackFraction);
+    const double cutOff = m_options.cutOffShare * std::max(0, it.capacity.inFlight - it.capacity.newInFlight);
+    return left <= Duration(0)
+        || newRequests(it, left) + cutOff <= remainingExposure(it, m_options.completionSlackFraction);
 }
 
 bool RolloutController::hasPassedProving(const Rollout& it) const
--- a/tests/entry/hostfixture.h
+++ b/tests/entry/hostfixture.h
@@ -233,15 +233,16 @@
     void startHost(std::size_t n)
     {
         const std::string ip = http::test::uniqueLoopbackIp(static_cast<int>(11 + n));
+        const auto [frontend, readiness, directory, metrics] = loop.freeEndpoints<4>(ip);
         Host it;
         it.store = std::make_unique<MemoryStore>(loop.io(), m_records);
         it.settings = { .host = HostId("host-" + std::to_string(n)),
             .dataCentre = DataCentreId("a"),
             .region = RegionId("r"),
-            .frontend = loop.freeEndpoint(ip),
-            .readiness = loop.freeEndpoint(ip),
-            .directory = loop.freeEndpoint(ip),
-            .metrics = loop.freeEndpoint(ip) };
+            .frontend = frontend,
+            .readiness = readiness,
+            .directory = directory,
+            .metrics = metrics };
         it.settings.firstPeerPort = FIRST_PEER_PORT;
         it.settings.lastPeerPort = FIRST_PEER_PORT + 1;
         it.settings.bounds.revocation = REVOCATION;
