Exposure: allow for bursts at the move and at completion

Change: the move and the completion allow for twice the rate, so that both come later where the budget is short; the load test goes by the rate itself.

--- a/include/fireflyhaven/rollout/rolloutcontroller.h
+++ b/include/fireflyhaven/rollout/rolloutcontroller.h
@@ -28,8 +28,8 @@
     double moveSlackFraction = 0.8;
     // Same for the completion, at which less is unknown.
     double completionSlackFraction = 1.0;
-    // Requests that are expected until the order's end, relative to the rate of the last seconds.
-    double rateMargin = 1.1;
+    // Requests arrive in bursts: at the move and at completion, this many times the mean rate is allowed for.
+    double burstFactor = 2;
     // Share of the requests in flight on the old version at the move of all sessions that still run at completion. They
     // are cut off then, and go on at the new version.
     double resumedShare = 0.3;
--- a/src/entry/internal/poisonlink.cpp
+++ b/src/entry/internal/poisonlink.cpp
@@ -11,7 +11,7 @@
 
 std::string eventName(const poison::VerdictEvent& event)
 {
-    const std::string subject = event.verdict.isWholeRequest ? "request" : "prompt_part";
+    std::string subject = event.verdict.isWholeRequest ? "request" : "prompt_part";
     switch (event.change) {
     case poison::VerdictChange::Convicted:
         return subject + "_convicted";
--- a/src/rollout/internal/rolloutcontroller.cpp
+++ b/src/rollout/internal/rolloutcontroller.cpp
@@ -459,13 +459,13 @@
 
 double RolloutController::expectedRequests(const Rollout& it, Duration time) const
 {
-    return m_options.rateMargin * it.exposure.rate() * std::max(0., secondsOf(time));
+    return it.exposure.rate() * std::max(0., secondsOf(time));
 }
 
 bool RolloutController::leavesMove(const Rollout& it, TimePoint now) const
 {
     const double left = remainingExposure(it, m_options.provingSlackFraction);
-    const double growth = m_options.exposureRatio / m_options.rateMargin * it.exposure.rate()
+    const double growth = m_options.exposureRatio * it.exposure.rate()
         * std::max(0., secondsOf(timeLeft(it, now) - m_options.completionMargin));
     return left > 0 && left + growth > expectedRequests(it, m_options.minMoveTime);
 }
@@ -479,7 +479,7 @@
 
 double RolloutController::newRequests(const Rollout& it, Duration time) const
 {
-    return expectedRequests(it, time) * (1 - m_options.exposureRatio);
+    return m_options.burstFactor * expectedRequests(it, time) * (1 - m_options.exposureRatio);
 }
 
 double RolloutController::costOfMove(const Rollout& it, Duration left) const
