Idle connections: what waits unread there is looked at before a request takes one

Cause: bytes that belong to no response wait at an idle connection of a frozen host; the order is written to it before the handler of the read finds them, and the connection is reported as one on which nothing was sent, since bytes count only when the write's handler has run; the order is sent again. Class: an outcome that is not known yet, taken for one that did not happen. Change: a connection is taken only if it has neither ended nor received anything (MSG_PEEK), and a write under way counts as possibly received. This is the one client of all: upstreams, hand-overs, relays and the store.

--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -4,9 +4,11 @@
 
 #include <boost/asio/write.hpp>
 #include <spdlog/spdlog.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
 
 namespace fireflyhaven::http {
@@ -61,6 +63,13 @@
     beginRequest();
 }
 
+bool ClientConnection::isQuiet()
+{
+    char byte = 0;
+    const ssize_t n = ::recv(m_socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void ClientConnection::connect(Duration timeout)
 {
     m_state = State::Connecting;
@@ -111,6 +120,7 @@
     } else {
         buffers[0] = boost::asio::buffer(*m_request.body) + (m_sentBytes - m_serializedHead.size());
     }
+    m_writing = true;
     m_socket.async_write_some(
         buffers, [self = shared_from_this()](IoErrorCode ec, std::size_t n) { self->onWritten(ec, n); });
 }
@@ -119,6 +129,7 @@
 {
     if (m_state != State::Busy)
         return;
+    m_writing = false;
     m_sentBytes += n;
     // Write errors are left to the read side: the peer may have sent an early response that is still unread.
     if (!ec && !isRequestWritten())
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -35,7 +35,10 @@
     void cancel();
     void pause();
     void resume();
-    bool anythingSent() const { return m_sentBytes > 0; }
+    // Whether bytes of the request may have left, also by a write whose outcome is not known yet.
+    bool anythingSent() const { return m_sentBytes > 0 || m_writing; }
+    // Whether an idle connection has neither ended nor received anything. It may have, although no handler has run yet.
+    bool isQuiet();
     void close();
     Duration idleFor(TimePoint now) const { return now - m_idleSince; }
     bool isExpired(TimePoint now) const { return idleFor(now) >= m_idleTimeout; }
@@ -56,7 +59,7 @@
     void finishResponse();
     void applyKeepAlive(const ResponseHead& head);
     void fail(const std::string& reason);
-    SendState sendState() const { return m_sentBytes > 0 ? SendState::MaybeReceived : SendState::NothingSent; }
+    SendState sendState() const { return anythingSent() ? SendState::MaybeReceived : SendState::NothingSent; }
     bool isRequestWritten() const { return m_sentBytes == m_serializedHead.size() + bodySize(); }
     std::size_t bodySize() const { return m_request.body ? m_request.body->size() : 0; }
 
@@ -70,6 +73,7 @@
     OutgoingRequest m_request;
     std::string m_serializedHead;
     std::size_t m_sentBytes = 0;
+    bool m_writing = false;
     // Received since the request was begun and not passed on as part of the response's body.
     std::size_t m_bytesBesideBody = 0;
     boost::beast::flat_buffer m_buffer;
--- a/src/http/internal/eventclient.cpp
+++ b/src/http/internal/eventclient.cpp
@@ -151,14 +151,18 @@
         if (it == m_peers.end())
             return nullptr;
         closeExpired(it->second);
-        const auto current = m_peers.find(peer);
-        if (current == m_peers.end() || current->second.idle.empty())
-            return nullptr;
-        auto connection = current->second.idle.back();
-        if (maxIdleTime && connection->idleFor(m_clock.now()) > *maxIdleTime)
-            return nullptr;
-        current->second.idle.pop_back();
-        return connection;
+        auto current = m_peers.find(peer);
+        while (current != m_peers.end() && !current->second.idle.empty()) {
+            auto connection = current->second.idle.back();
+            if (maxIdleTime && connection->idleFor(m_clock.now()) > *maxIdleTime)
+                return nullptr;
+            current->second.idle.pop_back();
+            if (connection->isQuiet())
+                return connection;
+            connection->close();
+            current = m_peers.find(peer);
+        }
+        return nullptr;
     }
 
     void closeExpired(const Peer& peer)
--- a/src/http/tests/eventclient_test.cpp
+++ b/src/http/tests/eventclient_test.cpp
@@ -127,6 +127,25 @@
     cr_assert(next.body == "good");
 }
 
+// Bytes that belong to no response wait unread at an idle connection, as after a freeze. Guards against taking that
+// connection for a request that must not run twice, and against reporting it as not sent once it was written
+// (review/1).
+Test(event_client, connectionWithUnreadDataIsNotTaken)
+{
+    ClientFixture it;
+    cr_assert(it.callWithResponse(GOOD_RESPONSE, false).completions == 1);
+    cr_assert(it.client->idleConnectionsTo(it.address) == 1);
+    it.connections.front()->send("junk");
+    RecordingResponseObserver next;
+    const auto call = it.start(next, "/next");
+    RawPeer& upstream = it.awaitConnection(2);
+    upstream.await("/next");
+    cr_assert(it.connections.front()->received().find("/next") == std::string::npos);
+    upstream.send(GOOD_RESPONSE);
+    it.loop.runUntil([&] { return next.isDone(); }, "the next call is over");
+    cr_assert(next.completions == 1 && next.body == "good");
+}
+
 Test(event_client, responseToOtherRequestDiscarded)
 {
     ClientFixture it;
