A request follows its key to another workspace, or ends

Cause: at each send the key was looked up again, but only whether any workspace holds it; the workspace of the request's arrival was sent. Class: a check at the moment of sending that compares less than was decided before. Change: a request that was not sent yet takes the workspace that holds its key now, with its priority; one that was, in a repeat, an escalation or a resumed stream, is not continued for another workspace. A request that was handed over is checked by the host that sends it, by the same code.

--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -91,7 +91,8 @@
     bool authenticate(TimePoint now);
     // Sends the request, queues it, or refuses it.
     void dispatch(TimePoint now);
-    // Fails the request and returns false if its key is no longer valid.
+    // Fails the request and returns false if its key is no longer valid. A request that was not sent yet follows its
+    // key to another workspace.
     bool keyIsValid(TimePoint now);
     // Fails the request and returns false if its key is no longer valid, or it crashes upstreams.
     bool maySend(TimePoint now);
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -112,13 +112,23 @@
         enqueueOrRefuse(now);
 }
 
-// The key may have been revoked while the request waited.
+// The key may have been revoked, or have passed to another workspace, while the request waited.
 bool RequestFlow::keyIsValid(TimePoint now)
 {
-    if (!m_caller || (m_context.host.mayAcceptKeys(now) && m_context.catalog.callerOf(*m_request.key)))
+    if (!m_caller)
         return true;
-    failRequest("API key revoked or no longer confirmed", now);
-    return false;
+    const auto caller = m_context.catalog.callerOf(*m_request.key);
+    if (!caller || !m_context.host.mayAcceptKeys(now)) {
+        failRequest("API key revoked or no longer confirmed", now);
+        return false;
+    }
+    // What has run for one workspace is not continued for another.
+    if (caller->workspace != m_caller->workspace && m_sends > 0) {
+        failRequest("API key belongs to another workspace now", now);
+        return false;
+    }
+    m_caller = caller;
+    return true;
 }
 
 // Other hosts may have found out while the request waited, or while an attempt was open.
