A request that is handed over ends at its route's time-out

Cause: HandoverDriver had no time-out, and a process that wakes reads a request before the end of the connection behind it. Class: a wait without an end. Change: the host that took the request from its caller answers it at the route's time-out or the caller's, whichever is first, whatever the other host does (504, or 503 where nothing was sent); a server does not begin a request whose connection has ended behind it.

--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -135,7 +135,8 @@
                                      .clock = clock,
                                      .codec = codec,
                                      .client = *m_hostClient,
-                                     .mayRepeat = [this](const CallerRequest& it) { return mayRepeat(it); } },
+                                     .mayRepeat = [this](const CallerRequest& it) { return mayRepeat(it); },
+                                     .timeoutOf = [this](const CallerRequest& it) { return timeoutOf(it); } },
               .hosts = m_fleetLink.hosts(),
               .settings = m_settings,
               .metrics = m_metrics })
@@ -354,6 +355,12 @@
         return route && route->mayRepeat();
     }
 
+    std::optional<Duration> timeoutOf(const CallerRequest& request) const
+    {
+        const auto route = m_catalog.routes().find(request.host, request.path);
+        return route ? std::optional(route->timeout) : std::nullopt;
+    }
+
     void onReachChanged(bool cutOff)
     {
         telemetry::logEvent(spdlog::level::warn, cutOff ? "upstreams_unreachable" : "upstreams_reachable");
--- a/src/entry/internal/handoverdispatcher.cpp
+++ b/src/entry/internal/handoverdispatcher.cpp
@@ -1,6 +1,7 @@
 #include "handoverdispatcher.h"
 
 #include "fireflyhaven/common/hash.h"
+#include "fireflyhaven/http/types/status.h"
 
 #include <boost/asio/post.hpp>
 
@@ -58,6 +59,12 @@
     return m_drivers.size() < MAX_OPEN_HANDOVERS && !targets(now).empty();
 }
 
+void HandoverDispatcher::endAll()
+{
+    for (const auto& it : m_drivers)
+        it->end(STATUS_BAD_GATEWAY);
+}
+
 void HandoverDispatcher::serve(std::shared_ptr<http::Exchange> exchange)
 {
     m_context.metrics.count("requests_handed_over");
--- a/src/entry/internal/handoverdispatcher.h
+++ b/src/entry/internal/handoverdispatcher.h
@@ -28,6 +28,8 @@
     // Whether a host is known that takes requests, and not too many are open.
     bool canTake(TimePoint now) const;
     void serve(std::shared_ptr<http::Exchange> exchange);
+    // Answers all open requests, because the process exits.
+    void endAll();
     std::size_t openRequests() const { return m_drivers.size(); }
 
 private:
--- a/src/entry/internal/handoverdriver.cpp
+++ b/src/entry/internal/handoverdriver.cpp
@@ -22,11 +22,16 @@
     , m_onDone(std::move(onDone))
     , m_request(context.codec.decodeRequest(m_exchange->head()))
     , m_receivedAt(context.clock.now())
+    , m_deadline(context.loop)
 {
     m_exchange->setObserver(this);
 }
 
-HandoverDriver::~HandoverDriver() { m_exchange->setObserver(nullptr); }
+HandoverDriver::~HandoverDriver()
+{
+    *m_alive = false;
+    m_exchange->setObserver(nullptr);
+}
 
 http::RequestHead HandoverDriver::handedOverHead() const
 {
@@ -34,10 +39,37 @@
     return m_context.codec.encodeHandedOverRequest(m_exchange->head(), elapsed);
 }
 
+void HandoverDriver::begin()
+{
+    const auto timeout = m_context.timeoutOf(m_request);
+    if (timeout || m_request.deadline) {
+        const Duration time = std::min(timeout.value_or(Duration::max()), m_request.deadline.value_or(Duration::max()));
+        m_deadline.expires_after(time);
+        m_deadline.async_wait([this, alive = m_alive](boost::system::error_code ec) {
+            if (!ec && *alive)
+                end(STATUS_GATEWAY_TIMEOUT);
+        });
+    }
+    startNext();
+}
+
+// The other host may be frozen, and would never answer.
+void HandoverDriver::end(int statusIfItMayHaveRun)
+{
+    if (!m_onDone)
+        return;
+    m_mayHaveRun = m_mayHaveRun || (m_call && m_call->anythingSent());
+    m_call.reset();
+    if (!m_headSent)
+        return fail(statusIfItMayHaveRun);
+    m_exchange->abort();
+    notifyDone();
+}
+
 void HandoverDriver::startNext()
 {
     if (m_nextHost >= std::min(m_hosts.size(), MAX_HOSTS_TRIED))
-        return fail();
+        return fail(STATUS_BAD_GATEWAY);
     http::OutgoingRequest request {
         .head = handedOverHead(), .body = m_exchange->body(), .connectTimeout = CONNECT_TIMEOUT
     };
@@ -89,13 +121,13 @@
         return notifyDone();
     }
     if (m_mayHaveRun && !m_context.mayRepeat(m_request))
-        return fail();
+        return fail(STATUS_BAD_GATEWAY);
     startNext();
 }
 
-void HandoverDriver::fail()
+void HandoverDriver::fail(int statusIfItMayHaveRun)
 {
-    const int status = m_mayHaveRun ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE;
+    const int status = m_mayHaveRun ? statusIfItMayHaveRun : STATUS_UNAVAILABLE;
     const auto retryAfter = m_mayHaveRun ? std::nullopt : std::optional(RETRY_AFTER);
     m_exchange->sendResponse(m_context.codec.encodeLocalResponse(status, m_request.attempt, retryAfter), {});
     notifyDone();
@@ -116,6 +148,7 @@
 
 void HandoverDriver::notifyDone()
 {
+    m_deadline.cancel();
     if (m_onDone)
         std::exchange(m_onDone, nullptr)();
 }
--- a/src/entry/internal/handoverdriver.h
+++ b/src/entry/internal/handoverdriver.h
@@ -20,6 +20,8 @@
     http::EventClient& client;
     // Whether the request may run more than once.
     std::function<bool(const CallerRequest&)> mayRepeat;
+    // Time-out of the request's route; no value where it has no route.
+    std::function<std::optional<Duration>(const CallerRequest&)> timeoutOf;
 };
 
 // Hands one caller's request to another host, which answers it as one of its own, and passes the answer on. Tries the
@@ -33,7 +35,9 @@
     HandoverDriver(const HandoverDriver&) = delete;
     HandoverDriver& operator=(const HandoverDriver&) = delete;
 
-    void begin() { startNext(); }
+    void begin();
+    // Answers the request, because its time is over or the process exits.
+    void end(int statusIfItMayHaveRun);
 
 private:
     http::HeadVerdict onHead(const http::ResponseHead& head) override;
@@ -46,7 +50,7 @@
     // Hands the request to the next host, or fails it if there is none.
     void startNext();
     http::RequestHead handedOverHead() const;
-    void fail();
+    void fail(int statusIfItMayHaveRun);
     // Must be the last statement of a callback, because the owner then destroys the driver.
     void notifyDone();
 
@@ -56,6 +60,7 @@
     std::function<void()> m_onDone;
     const CallerRequest m_request;
     const TimePoint m_receivedAt;
+    boost::asio::steady_timer m_deadline;
     std::size_t m_nextHost = 0;
     bool m_mayHaveRun = false;
     std::unique_ptr<http::ClientCall> m_call;
@@ -64,6 +69,7 @@
     bool m_headSent = false;
     // Body of an answer that is no stream; passed on once it is complete.
     std::string m_body;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 }
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <spdlog/spdlog.h>
+#include <sys/socket.h>
 
 #include <charconv>
 
@@ -210,8 +211,17 @@
     endResponse(false);
 }
 
+bool ServerConnection::hasCallerLeft()
+{
+    char byte = 0;
+    return ::recv(m_socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void ServerConnection::dispatch()
 {
+    // The caller of a request that waited unread, as after a freeze, may be gone.
+    if (m_buffer.size() == 0 && hasCallerLeft())
+        return close();
     const auto self = shared_from_this();
     const bool http10 = m_parser->isHttp10();
     m_exchange = std::make_shared<ServerExchange>(
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -86,6 +86,8 @@
     bool processCompleteRequests();
     void reject(int status);
     void dispatch();
+    // Whether the caller has closed the connection behind its request.
+    bool hasCallerLeft();
     void write(std::string data);
     void flush();
     void onWritten(IoErrorCode ec, std::size_t n);
--- a/src/http/tests/eventserver_test.cpp
+++ b/src/http/tests/eventserver_test.cpp
@@ -73,6 +73,21 @@
 }
 
 // Guards against changes to forwarded requests: the target must not be decoded or normalised, nor the body altered.
+// A request and the end of its connection wait unread, as after a freeze. Guards against running what nobody waits for
+// (review/4).
+Test(event_server, requestOfCallerThatLeftIsNotBegun)
+{
+    ServerFixture it;
+    {
+        RawPeer caller(it.loop, it.address);
+        it.loop.runUntil([&] { return it.server->openConnections() == 1; }, "the connection is accepted");
+        caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        caller.close();
+    }
+    it.loop.runUntil([&] { return it.server->openConnections() == 0; }, "the connection is closed");
+    cr_assert(it.exchanges.empty());
+}
+
 Test(event_server, requestPassedUnmodified)
 {
     ServerFixture it;
