Waiting requests are answered before the process exits

Cause: pollShutdown stopped the loop with whatever was open. Class: as of the hand-over, an end that answers nobody.

--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -61,6 +61,8 @@
     bool onDequeued(TimePoint now);
     // Called with the decision on a permit that the flow has asked for.
     void onPermitDecision(const ratelimit::PermitDecision& decision, TimePoint now);
+    // Called right before the process exits: answers the request, as not run if no upstream can have run it.
+    void onHostStops(TimePoint now);
     // Called when a more urgent request has displaced this one from the service queue.
     void onShed(TimePoint now);
 
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -506,11 +506,18 @@
     {
         const Duration age = m_clock.now() - *m_drainingSince;
         const bool requestsDone = age > ACCEPT_REQUESTS_AFTER_TERM && openRequests() == 0;
-        if (requestsDone || age > m_settings.bounds.shutdownGrace - SHUTDOWN_MARGIN) {
-            telemetry::logEvent(spdlog::level::info, "host_stopped", { { "requests_cut", openRequests() } });
+        if (requestsDone || m_requestsEnded) {
+            telemetry::logEvent(
+                spdlog::level::info, "host_stopped", { { "requests_cut", m_requestsEnded.value_or(0) } });
             spdlog::default_logger()->flush();
             return m_shutdownDone();
         }
+        if (age > m_settings.bounds.shutdownGrace - SHUTDOWN_MARGIN) {
+            // The answers leave before the next poll.
+            m_requestsEnded = openRequests();
+            m_requestDispatcher.endAll();
+            m_handoverDispatcher.endAll();
+        }
         if (age > ACCEPT_REQUESTS_AFTER_TERM)
             m_frontend->stopListening();
         if (age > m_settings.bounds.maxDirectoryTtl / 2)
@@ -560,6 +567,8 @@
     boost::asio::steady_timer m_shutdownTimer;
     std::function<void()> m_shutdownDone;
     std::optional<TimePoint> m_drainingSince;
+    // Number of requests that were answered only because the process exits; no value before.
+    std::optional<std::size_t> m_requestsEnded;
     // Number of hosts that share the retry budget, as of the last tick.
     int m_sharingHosts = 1;
     TimePoint m_stateLoggedAt {};
--- a/src/entry/internal/requestdispatcher.cpp
+++ b/src/entry/internal/requestdispatcher.cpp
@@ -42,6 +42,12 @@
         it->second->onPermitDecision(decision);
 }
 
+void RequestDispatcher::endAll()
+{
+    for (const auto& it : m_requests)
+        it->onHostStops();
+}
+
 void RequestDispatcher::scheduleDispatch()
 {
     if (m_dispatchScheduled || m_serviceQueues.size() == 0)
--- a/src/entry/internal/requestdispatcher.h
+++ b/src/entry/internal/requestdispatcher.h
@@ -19,6 +19,8 @@
     void dispatchQueued();
     // Delivers the decision on a request's permit.
     void onPermitDecision(admission::TicketId request, const ratelimit::PermitDecision& decision);
+    // Answers all open requests, because the process exits.
+    void endAll();
     std::size_t openRequests() const { return m_requests.size(); }
 
 private:
--- a/src/entry/internal/requestdriver.cpp
+++ b/src/entry/internal/requestdriver.cpp
@@ -52,6 +52,12 @@
     notifyIfDone();
 }
 
+void RequestDriver::onHostStops()
+{
+    m_flow.onHostStops(now());
+    notifyIfDone();
+}
+
 void RequestDriver::onPermitDecision(const ratelimit::PermitDecision& decision)
 {
     m_flow.onPermitDecision(decision, now());
--- a/src/entry/internal/requestdriver.h
+++ b/src/entry/internal/requestdriver.h
@@ -31,6 +31,7 @@
     bool onDequeued();
     // Called when a more urgent request has displaced this one from the service queue.
     void onShed();
+    void onHostStops();
     void onPermitDecision(const ratelimit::PermitDecision& decision);
     admission::TicketId waitingTicket() const { return m_flow.waitingTicket(); }
 
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -279,6 +279,18 @@
     failRequest("displaced from the service queue by a more urgent request", now);
 }
 
+void RequestFlow::onHostStops(TimePoint now)
+{
+    if (m_stage == Stage::Done)
+        return;
+    if (m_ticket) {
+        m_mayHaveRun = true;
+        m_actions.cancelAttempt();
+        closeAttempt(SendOutcome::Cancelled, now);
+    }
+    failRequest("the host stops", now, Duration(0));
+}
+
 void RequestFlow::send(balancing::Ticket ticket, TimePoint now)
 {
     const catalog::UpstreamState* target = m_context.catalog.upstream(ticket.upstream);
--- a/src/entry/tests/requestflow_test.cpp
+++ b/src/entry/tests/requestflow_test.cpp
@@ -416,6 +416,21 @@
     cr_assert_eq(busy.back()->actions.localStatus, STATUS_UNAVAILABLE);
 }
 
+// Guards against closing the connections of waiting requests without an answer at the exit (review/3).
+Test(waiting, hostThatStopsRefusesWaitingRequestAsNotRun)
+{
+    Deployment it;
+    std::vector<std::unique_ptr<FlowUnderTest>> busy;
+    do
+        busy.push_back(std::make_unique<FlowUnderTest>(it, Deployment::request("/non-idempotent/1")));
+    while (!busy.back()->actions.attempts.empty());
+    busy.back()->flow.onHostStops(START + Duration(10));
+    cr_assert_eq(busy.back()->actions.localStatus, STATUS_UNAVAILABLE);
+    busy.front()->flow.onHostStops(START + Duration(10));
+    cr_assert_eq(busy.front()->actions.localStatus, STATUS_BAD_GATEWAY);
+    cr_assert(busy.back()->flow.isDone() && busy.front()->flow.isDone());
+}
+
 Test(callers, disconnectCancelsAttempt)
 {
     Deployment it;
