Datagrams with an extension: one encoder and one decoder; test with the build before

The variants with and without an extension were written twice. The messages do not change. noticesWithoutExtensionAreRead reads a message as the build before sends it; that build's decoder is the same but for the extension, and stops before it.

--- a/src/fleet/internal/datagram.h
+++ b/src/fleet/internal/datagram.h
@@ -12,30 +12,21 @@
 // follow as an extension, which older builds neither send nor read.
 namespace fireflyhaven::fleet {
 
-template <typename Message> std::string encodeDatagram(std::uint16_t layout, const Message& message)
+template <typename Message, typename... Extension>
+std::string encodeDatagram(std::uint16_t layout, const Message& message, const Extension&... extension)
 {
     std::ostringstream out;
     {
         cereal::PortableBinaryOutputArchive archive(out);
-        archive(layout, message);
+        archive(layout, message, extension...);
     }
     return std::move(out).str();
 }
 
-template <typename Message, typename Extension>
-std::string encodeDatagram(std::uint16_t layout, const Message& message, const Extension& extension)
-{
-    std::ostringstream out;
-    {
-        cereal::PortableBinaryOutputArchive archive(out);
-        archive(layout, message, extension);
-    }
-    return std::move(out).str();
-}
-
-// Reads a datagram with an extension, which is left as it is where the datagram has none.
-template <typename Message, typename Extension>
-std::optional<Message> decodeDatagram(std::uint16_t layout, const std::string& datagram, Extension& extension)
+// Returns no value if the datagram has another layout or is malformed. An extension is left as it is where the datagram
+// has none.
+template <typename Message, typename... Extension>
+std::optional<Message> decodeDatagram(std::uint16_t layout, const std::string& datagram, Extension&... extension)
 {
     try {
         std::istringstream in(datagram);
@@ -47,25 +38,7 @@
         Message message;
         archive(message);
         if (in.peek() != std::istringstream::traits_type::eof())
-            archive(extension);
-        return message;
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
-}
-
-// Returns no value if the datagram has another layout or is malformed.
-template <typename Message> std::optional<Message> decodeDatagram(std::uint16_t layout, const std::string& datagram)
-{
-    try {
-        std::istringstream in(datagram);
-        cereal::PortableBinaryInputArchive archive(in);
-        std::uint16_t received = 0;
-        archive(received);
-        if (received != layout)
-            return std::nullopt;
-        Message message;
-        archive(message);
+            (archive(extension), ...);
         return message;
     } catch (const std::exception&) {
         return std::nullopt;
--- a/src/poison/tests/poisonguard_test.cpp
+++ b/src/poison/tests/poisonguard_test.cpp
@@ -373,3 +373,19 @@
     cr_assert(it.allRefuse(DEADLY));
     cr_assert_not(it.refuses(0, FIRST));
 }
+
+// The messages of the build before end before the convicted requests. Guards against losing its verdicts, and against
+// messages that it cannot read.
+Test(poisonGuard, noticesWithoutExtensionAreRead)
+{
+    fleet::PoisonNotices notices { .from = HostId("h") };
+    notices.verdicts.items.push_back({ .part = DEADLY, .convictedBy = HostId("h") });
+    notices.convictedRequests.items.push_back(DEADLY);
+    const std::string bytes = fleet::encodePoisonNotices(notices);
+    // The extension is a 16-bit number of ids, and 8 bytes for each.
+    constexpr std::size_t EXTENSION_BYTES = 2 + 8;
+    const auto older = fleet::decodePoisonNotices(bytes.substr(0, bytes.size() - EXTENSION_BYTES));
+    cr_assert(older && older->verdicts.items.size() == 1 && older->convictedRequests.items.empty());
+    const auto newer = fleet::decodePoisonNotices(bytes);
+    cr_assert(newer && newer->verdicts.items.size() == 1 && newer->convictedRequests.items.size() == 1);
+}
