Server connections: a request that waits unread is neither timed out nor closed as idle

What callers saw: by reading, after a freeze or beside a host that stops, a connection on which a request has arrived is closed unanswered. Change: both look at the socket first (MSG_PEEK). Evidence, with the old serverconnection.cpp:

timed out waiting until a request is passed to the handler [FAIL] event_server::requestThatWaitsUnreadIsNotClosedAsIdle: (10.00s) timed out waiting until all requests are passed to the handler [FAIL] event_server::requestThatWaitsUnreadIsNotTimedOut: (12.07s)

and all 15 tests of event_server pass with the change.

--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -211,16 +211,19 @@
     endResponse(false);
 }
 
-bool ServerConnection::hasCallerLeft()
+ServerConnection::Unread ServerConnection::unread()
 {
     char byte = 0;
-    return ::recv(m_socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
+    const auto n = ::recv(m_socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0)
+        return Unread::Bytes;
+    return n == 0 ? Unread::End : Unread::Nothing;
 }
 
 void ServerConnection::dispatch()
 {
     // The caller of a request that waited unread, as after a freeze, may be gone.
-    if (m_buffer.size() == 0 && hasCallerLeft())
+    if (m_buffer.size() == 0 && unread() == Unread::End)
         return close();
     const auto self = shared_from_this();
     const bool http10 = m_parser->isHttp10();
@@ -327,6 +330,10 @@
     const bool awaitingHandler = m_state == State::Responding && m_unsent.empty();
     if (m_state == State::Closed || awaitingHandler || m_context->clock.now() - m_lastProgress < currentTimeout())
         return;
+    // The caller is not late if the process was.
+    const bool receiving = m_state == State::ReadingHead || m_state == State::ReadingBody;
+    if (receiving && unread() == Unread::Bytes)
+        return;
     if (m_state == State::ReadingHead && m_parser)
         return reject(STATUS_REQUEST_TIMEOUT);
     close();
@@ -335,7 +342,7 @@
 void ServerConnection::closeIfIdle()
 {
     const bool idle = m_state == State::ReadingHead && !m_parser && m_buffer.size() == 0 && m_unsent.empty();
-    if (idle)
+    if (idle && unread() != Unread::Bytes)
         close();
 }
 
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -86,8 +86,9 @@
     bool processCompleteRequests();
     void reject(int status);
     void dispatch();
-    // Whether the caller has closed the connection behind its request.
-    bool hasCallerLeft();
+    // What waits at the socket that no handler has read yet: nothing, bytes, or the end of the connection.
+    enum class Unread { Nothing, Bytes, End };
+    Unread unread();
     void write(std::string data);
     void flush();
     void onWritten(IoErrorCode ec, std::size_t n);
--- a/src/http/tests/eventserver_test.cpp
+++ b/src/http/tests/eventserver_test.cpp
@@ -4,6 +4,7 @@
 #include "loopfixture.h"
 
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -72,7 +73,6 @@
 
 }
 
-// Guards against changes to forwarded requests: the target must not be decoded or normalised, nor the body altered.
 // A request and the end of its connection wait unread, as after a freeze. Guards against running what nobody waits for
 // (review/4).
 Test(event_server, requestOfCallerThatLeftIsNotBegun)
@@ -88,6 +88,52 @@
     cr_assert(it.exchanges.empty());
 }
 
+// Guards against an idle time-out that closes connections on which requests wait unread, as after a freeze.
+Test(event_server, requestThatWaitsUnreadIsNotTimedOut)
+{
+    // More than the event loop takes from the kernel in one turn.
+    constexpr std::size_t CALLERS = 300;
+    constexpr Duration FREEZE { 2000 };
+    ServerFixture it({ .idleTimeout = Duration(1500) });
+    std::vector<std::unique_ptr<RawPeer>> callers;
+    for (std::size_t n = 0; n < CALLERS; ++n)
+        callers.push_back(std::make_unique<RawPeer>(it.loop, it.address));
+    it.loop.runUntil([&] { return it.server->openConnections() == CALLERS; }, "the connections are accepted");
+    std::this_thread::sleep_for(FREEZE);
+    for (const auto& caller : callers)
+        caller->send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    it.loop.runUntil([&] { return it.exchanges.size() == CALLERS; }, "all requests are passed to the handler");
+}
+
+// Guards against a host that stops and closes connections on which requests wait unread.
+Test(event_server, requestThatWaitsUnreadIsNotClosedAsIdle)
+{
+    ServerFixture it;
+    RawPeer caller(it.loop, it.address);
+    it.loop.runUntil([&] { return it.server->openConnections() == 1; }, "the connection is accepted");
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    it.server->closeIdleConnections();
+    it.awaitExchange();
+}
+
+// A caller that closes only its sending side counts as one that has left, since nothing tells the two apart.
+Test(event_server, callerThatClosesItsSendingSideHasLeft)
+{
+    RecordingExchangeObserver observer;
+    ServerFixture it;
+    test::Tcp::socket caller(it.loop.io(), test::Tcp::v4());
+    caller.connect({ boost::asio::ip::make_address(it.address.ip), it.address.port });
+    boost::asio::write(caller, boost::asio::buffer("GET / HTTP/1.1\r\n" + HOST_HEADER + "\r\n"));
+    it.awaitExchange().setObserver(&observer);
+    caller.shutdown(test::Tcp::socket::shutdown_send);
+    it.loop.runUntil([&] { return observer.disconnected; }, "the end of the sending side is taken for a departure");
+    char byte = 0;
+    boost::system::error_code ec;
+    caller.read_some(boost::asio::buffer(&byte, 1), ec);
+    cr_assert(ec == boost::asio::error::eof, "no answer is sent");
+}
+
+// Guards against changes to forwarded requests: the target must not be decoded or normalised, nor the body altered.
 Test(event_server, requestPassedUnmodified)
 {
     ServerFixture it;
