A request is sent only while somebody waits for it

What callers saw: by reading, a host that wakes from a freeze sends requests whose time is over or whose callers have left, if what they waited for (a place in the queue's turn, a permit, an answer that is escalated, a failed attempt) is handled before their own timer and the end of their connection; orders run that nobody waits for. Cause: `maySend`, which each send passes, asked for key and refused parts, not for the time and the caller. Change: it asks for both (the caller by a look at the socket, for sends after the arrival only). Evidence: awaitedrequest_test, with the question taken out of maySend:

[FAIL] awaited::failedAttemptIsNotRepeatedForCallerThatLeft [FAIL] awaited::permittedRequestOfCallerThatLeftIsNotSent [FAIL] awaited::permittedRequestWhoseTimeIsOverIsNotSent [FAIL] awaited::queuedRequestOfCallerThatLeftIsNotSent [FAIL] awaited::uncertainAnswerIsNotEscalatedForCallerThatLeft [====] Synthesis: Tested: 96 | Passing: 91 | Failing: 5 | Crashing: 0

and 96 of 96 pass with it.

--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -37,6 +37,8 @@
     virtual void sendLocalResponse(int status, std::optional<Duration> retryAfter) = 0;
     // Schedules a call of `onTimer`, replacing any earlier schedule.
     virtual void scheduleTimer(TimePoint time) = 0;
+    // Whether the caller has left, also if `onCallerGone` has not been called yet.
+    virtual bool hasCallerLeft() const = 0;
 };
 
 // State machine for one request: admission, queuing, attempts and response. Does no I/O. Never repeats a request that
@@ -96,7 +98,9 @@
     // Fails the request and returns false if its key is no longer valid. A request that was not sent yet follows its
     // key to another workspace.
     bool keyIsValid(TimePoint now);
-    // Fails the request and returns false if its key is no longer valid, or it crashes upstreams.
+    // Ends the request and returns false if its time is over or its caller has left.
+    bool isAwaited(TimePoint now);
+    // Ends the request and returns false if it is not awaited, its key is no longer valid, or it crashes upstreams.
     bool maySend(TimePoint now);
     // Sends the request or asks for the permit to; returns false if neither is possible.
     bool trySend(TimePoint now);
@@ -119,6 +123,8 @@
     void onAttemptUnusable(balancing::SendOutcome outcome, std::string_view reason, TimePoint now);
     void resend(std::string_view reason, const std::optional<UpstreamId>& permitted, TimePoint now);
     // Replaces an attempt that makes no progress if another attempt may follow it.
+    // Answers the request as timed out, or as not run.
+    void onTimeOver(TimePoint now);
     void onProgressTimeout(TimePoint now);
     void replaceAttempt(const std::optional<UpstreamId>& permitted, TimePoint now);
     // Starts to forward or to buffer the response whose head has arrived.
--- a/include/fireflyhaven/http/exchange.h
+++ b/include/fireflyhaven/http/exchange.h
@@ -42,6 +42,8 @@
     // Closes the connection without a regular end of the response, so that the caller detects the truncation.
     virtual void abort() = 0;
     virtual std::size_t unsentBytes() const = 0;
+    // Whether the caller has closed its connection, also if no handler has run for that yet, as after a freeze.
+    virtual bool hasCallerLeft() const = 0;
 
     // Sends a complete response.
     void sendResponse(const ResponseHead& head, std::string_view body);
--- a/src/entry/internal/requestdriver.h
+++ b/src/entry/internal/requestdriver.h
@@ -45,6 +45,7 @@
     void forwardResponse(const http::ResponseHead& upstream, std::string_view body) override;
     void sendLocalResponse(int status, std::optional<Duration> retryAfter) override;
     void scheduleTimer(TimePoint time) override;
+    bool hasCallerLeft() const override { return m_exchange->hasCallerLeft(); }
 
     http::HeadVerdict onHead(const http::ResponseHead& head) override;
     void onBodyData(std::string_view piece) override;
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -131,10 +131,26 @@
     return true;
 }
 
+// After a freeze, what a request waited for may be handled before its own timer and the end of its connection are.
+bool RequestFlow::isAwaited(TimePoint now)
+{
+    if (now == m_receivedAt)
+        return true;
+    if (m_actions.hasCallerLeft()) {
+        onCallerGone(now);
+        return false;
+    }
+    if (now >= m_deadline) {
+        onTimeOver(now);
+        return false;
+    }
+    return true;
+}
+
 // Other hosts may have found out while the request waited, or while an attempt was open.
 bool RequestFlow::maySend(TimePoint now)
 {
-    if (!keyIsValid(now))
+    if (!isAwaited(now) || !keyIsValid(now))
         return false;
     m_refusal = m_context.poisonGuard.refusalOf(m_suspects, now);
     if (!m_refusal)
@@ -440,23 +456,28 @@
 {
     if (m_stage == Stage::Done)
         return;
-    if (now >= m_deadline) {
-        const bool attemptOpen = m_ticket.has_value();
-        recordGivenUpAttempt(now);
-        if (attemptOpen)
-            m_actions.cancelAttempt();
-        m_mayHaveRun = m_mayHaveRun || attemptOpen;
-        closeAttempt(SendOutcome::Unanswered, now);
-        if (m_headSent || !m_mayHaveRun)
-            return failRequest("deadline exceeded", now);
-        return respondLocally(FlowStep::Failed, STATUS_GATEWAY_TIMEOUT, std::nullopt, "deadline exceeded", now);
-    }
+    if (now >= m_deadline)
+        return onTimeOver(now);
     if (m_attemptDeadline && now >= *m_attemptDeadline)
         onProgressTimeout(now);
     onPermitTimer(now);
     armTimer();
 }
 
+void RequestFlow::onTimeOver(TimePoint now)
+{
+    constexpr std::string_view REASON = "deadline exceeded";
+    const bool attemptOpen = m_ticket.has_value();
+    recordGivenUpAttempt(now);
+    if (attemptOpen)
+        m_actions.cancelAttempt();
+    m_mayHaveRun = m_mayHaveRun || attemptOpen;
+    closeAttempt(SendOutcome::Unanswered, now);
+    if (m_headSent || !m_mayHaveRun)
+        return failRequest(REASON, now);
+    respondLocally(FlowStep::Failed, STATUS_GATEWAY_TIMEOUT, std::nullopt, REASON, now);
+}
+
 void RequestFlow::onProgressTimeout(TimePoint now)
 {
     m_attemptDeadline.reset();
--- a/src/entry/tests/flowfixture.h
+++ b/src/entry/tests/flowfixture.h
@@ -38,9 +38,11 @@
         retryAfter = after;
     }
     void scheduleTimer(TimePoint time) override { timerAt = time; }
+    bool hasCallerLeft() const override { return callerLeft; }
 
     std::vector<AttemptPlan> attempts;
     bool attemptOpen = false;
+    bool callerLeft = false;
     int cancelled = 0;
     int headStatus = 0;
     int localStatus = 0;
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -110,6 +110,12 @@
     return connection ? connection->m_unsentBytes : 0;
 }
 
+bool ServerExchange::hasCallerLeft() const
+{
+    const auto connection = m_connection.lock();
+    return !connection || connection->hasEnded();
+}
+
 void ServerExchange::notifyCallerDisconnected()
 {
     m_ended = true;
@@ -220,10 +226,15 @@
     return n == 0 ? Unread::End : Unread::Nothing;
 }
 
+bool ServerConnection::hasEnded()
+{
+    return m_state == State::Closed || (m_buffer.size() == 0 && unread() == Unread::End);
+}
+
 void ServerConnection::dispatch()
 {
     // The caller of a request that waited unread, as after a freeze, may be gone.
-    if (m_buffer.size() == 0 && unread() == Unread::End)
+    if (hasEnded())
         return close();
     const auto self = shared_from_this();
     const bool http10 = m_parser->isHttp10();
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -27,6 +27,7 @@
     void finish() override;
     void abort() override;
     std::size_t unsentBytes() const override;
+    bool hasCallerLeft() const override;
 
     // Called by the connection when it is closed. Later calls on this exchange have no effect.
     void notifyCallerDisconnected();
@@ -89,6 +90,8 @@
     // What waits at the socket that no handler has read yet: nothing, bytes, or the end of the connection.
     enum class Unread { Nothing, Bytes, End };
     Unread unread();
+    // Whether the caller has closed the connection behind its request.
+    bool hasEnded();
     void write(std::string data);
     void flush();
     void onWritten(IoErrorCode ec, std::size_t n);
