A request that is handed over keeps the time that it has from its arrival

What callers saw: by reading, a request without a route that a cut-off host hands to a frozen one is never answered; a second host has the route's whole time again; after a freeze the first host's failure may be handled before the timer, and the request goes to a second host although its time is over or its caller has left. Change: one end from the arrival, also without a route; what is left of it goes along as the deadline, and is looked at before each hand-over, with the caller's connection.

--- a/include/fireflyhaven/entry/wirecodec.h
+++ b/include/fireflyhaven/entry/wirecodec.h
@@ -27,8 +27,8 @@
     virtual http::RequestHead encodeUpstreamRequest(
         const http::RequestHead& caller, const UpstreamDirectives& directives) const = 0;
     // Builds the request head for another host that is to answer in place of this one: the caller's head with the time
-    // that is left of its deadline after `elapsed`.
-    virtual http::RequestHead encodeHandedOverRequest(const http::RequestHead& caller, Duration elapsed) const = 0;
+    // that is left for the answer as its deadline.
+    virtual http::RequestHead encodeHandedOverRequest(const http::RequestHead& caller, Duration remaining) const = 0;
     virtual ResponseInfo decodeResponse(const http::ResponseHead& head) const = 0;
     // Builds the head of an upstream's response for the caller.
     virtual http::ResponseHead encodeCallerResponse(const http::ResponseHead& upstream) const = 0;
--- a/src/entry/internal/handoverdriver.cpp
+++ b/src/entry/internal/handoverdriver.cpp
@@ -11,6 +11,14 @@
 // Time after which a caller may be served by another host.
 constexpr Duration RETRY_AFTER { 300 };
 constexpr std::size_t MAX_HOSTS_TRIED = 2;
+// For a request without a route, which the other host refuses at once.
+constexpr Duration TIMEOUT_WITHOUT_ROUTE { 1000 };
+
+Duration timeFor(const HandoverContext& context, const CallerRequest& request)
+{
+    const Duration timeout = context.timeoutOf(request).value_or(TIMEOUT_WITHOUT_ROUTE);
+    return std::min(timeout, request.deadline.value_or(timeout));
+}
 
 }
 
@@ -21,8 +29,8 @@
     , m_hosts(std::move(hosts))
     , m_onDone(std::move(onDone))
     , m_request(context.codec.decodeRequest(m_exchange->head()))
-    , m_receivedAt(context.clock.now())
-    , m_deadline(context.loop)
+    , m_endsAt(context.clock.now() + timeFor(context, m_request))
+    , m_endTimer(context.loop)
 {
     m_exchange->setObserver(this);
 }
@@ -33,23 +41,13 @@
     m_exchange->setObserver(nullptr);
 }
 
-http::RequestHead HandoverDriver::handedOverHead() const
-{
-    const Duration elapsed = m_context.clock.now() - m_receivedAt;
-    return m_context.codec.encodeHandedOverRequest(m_exchange->head(), elapsed);
-}
-
 void HandoverDriver::begin()
 {
-    const auto timeout = m_context.timeoutOf(m_request);
-    if (timeout || m_request.deadline) {
-        const Duration time = std::min(timeout.value_or(Duration::max()), m_request.deadline.value_or(Duration::max()));
-        m_deadline.expires_after(time);
-        m_deadline.async_wait([this, alive = m_alive](boost::system::error_code ec) {
-            if (!ec && *alive)
-                end(STATUS_GATEWAY_TIMEOUT);
-        });
-    }
+    m_endTimer.expires_after(m_endsAt - m_context.clock.now());
+    m_endTimer.async_wait([this, alive = m_alive](boost::system::error_code ec) {
+        if (!ec && *alive)
+            end(STATUS_GATEWAY_TIMEOUT);
+    });
     startNext();
 }
 
@@ -66,13 +64,19 @@
     notifyDone();
 }
 
+// After a freeze, the failure of the first host may be handled before the timer and the end of the caller's connection.
 void HandoverDriver::startNext()
 {
+    if (m_exchange->hasCallerLeft())
+        return onCallerDisconnected();
+    const Duration remaining = m_endsAt - m_context.clock.now();
+    if (remaining <= Duration(0))
+        return fail(STATUS_GATEWAY_TIMEOUT);
     if (m_nextHost >= std::min(m_hosts.size(), MAX_HOSTS_TRIED))
         return fail(STATUS_BAD_GATEWAY);
-    http::OutgoingRequest request {
-        .head = handedOverHead(), .body = m_exchange->body(), .connectTimeout = CONNECT_TIMEOUT
-    };
+    http::OutgoingRequest request { .head = m_context.codec.encodeHandedOverRequest(m_exchange->head(), remaining),
+        .body = m_exchange->body(),
+        .connectTimeout = std::min(CONNECT_TIMEOUT, remaining) };
     m_call = m_context.client.start(m_hosts[m_nextHost++], std::move(request), *this);
 }
 
@@ -148,7 +152,7 @@
 
 void HandoverDriver::notifyDone()
 {
-    m_deadline.cancel();
+    m_endTimer.cancel();
     if (m_onDone)
         std::exchange(m_onDone, nullptr)();
 }
--- a/src/entry/internal/handoverdriver.h
+++ b/src/entry/internal/handoverdriver.h
@@ -25,7 +25,8 @@
 };
 
 // Hands one caller's request to another host, which answers it as one of its own, and passes the answer on. Tries the
-// hosts in turn while no host can have run a request that must not be repeated.
+// hosts in turn while no host can have run a request that must not be repeated. All of them share the time that the
+// request has from its arrival here.
 class HandoverDriver final : public http::IResponseObserver, public http::IExchangeObserver {
 public:
     // `hosts` are the addresses that take handed-over requests, the preferred one first.
@@ -49,7 +50,6 @@
 
     // Hands the request to the next host, or fails it if there is none.
     void startNext();
-    http::RequestHead handedOverHead() const;
     void fail(int statusIfItMayHaveRun);
     // Must be the last statement of a callback, because the owner then destroys the driver.
     void notifyDone();
@@ -59,8 +59,9 @@
     const std::vector<http::Endpoint> m_hosts;
     std::function<void()> m_onDone;
     const CallerRequest m_request;
-    const TimePoint m_receivedAt;
-    boost::asio::steady_timer m_deadline;
+    // When the request is answered at the latest, whatever the other hosts do.
+    const TimePoint m_endsAt;
+    boost::asio::steady_timer m_endTimer;
     std::size_t m_nextHost = 0;
     bool m_mayHaveRun = false;
     std::unique_ptr<http::ClientCall> m_call;
