A host whose links hang knows it before its failures are told to others

Cause: an attempt that hangs was given up and replaced after 200 ms, and raised the suspicion of a cut only when an attempt failed to connect; with the pace of probes the host knew up to 1.8 s after the cut, and failures are told after 1.5 s. Change: an attempt that is overdue for its response head raises the suspicion if no upstream at all has answered since it was sent; a slow upstream beside others that answer does not. The check and its bounds stay.

Three tests on the virtual clock.

--- a/include/fireflyhaven/balancing/upstreamreach.h
+++ b/include/fireflyhaven/balancing/upstreamreach.h
@@ -8,12 +8,16 @@
 namespace fireflyhaven::balancing {
 
 // Whether this host can open connections to upstreams. Attempts without an answer at several upstreams raise the
-// suspicion that it cannot; then connections are opened to several upstreams as probes, and the host counts as cut off
+// suspicion that it cannot, also while they are still open if no upstream has answered meanwhile; then connections are opened to several upstreams as probes, and the host counts as cut off
 // if none succeeds. A host that is cut off goes on probing until its probes succeed. Does no I/O.
 class UpstreamReach {
 public:
     // An attempt at the upstream could not connect, or lost its connection.
     void onUnanswered(const UpstreamId& upstream, TimePoint now);
+    // An open attempt, sent at `sentAt`, takes longer for its response head than expected.
+    void onOverdue(const UpstreamId& upstream, TimePoint sentAt, TimePoint now);
+    // Some upstream has sent a response head.
+    void onAnswered(TimePoint now) { m_answeredAt = now; }
 
     // Number of upstreams to probe now, each a different one; 0 if no probe is due.
     std::size_t probesDue(TimePoint now);
@@ -28,8 +32,10 @@
     bool hasSuspicion(TimePoint now);
 
     bool m_cutOff = false;
-    // Upstreams with an unanswered attempt, and when it ended.
+    // Upstreams with an unanswered attempt, and when it ended or was found overdue.
     std::map<UpstreamId, TimePoint> m_unanswered;
+    // Default value before the first answer.
+    TimePoint m_answeredAt {};
     std::size_t m_openProbes = 0;
     std::size_t m_startedProbes = 0;
     std::size_t m_connectedProbes = 0;
--- a/src/balancing/internal/upstreamreach.cpp
+++ b/src/balancing/internal/upstreamreach.cpp
@@ -18,6 +18,13 @@
 
 void UpstreamReach::onUnanswered(const UpstreamId& upstream, TimePoint now) { m_unanswered[upstream] = now; }
 
+void UpstreamReach::onOverdue(const UpstreamId& upstream, TimePoint sentAt, TimePoint now)
+{
+    // While others answer, the upstream is slow.
+    if (m_answeredAt < sentAt)
+        onUnanswered(upstream, now);
+}
+
 bool UpstreamReach::hasSuspicion(TimePoint now)
 {
     std::erase_if(m_unanswered, [now](const auto& entry) { return now - entry.second >= SUSPICION_WINDOW; });
--- a/src/balancing/tests/upstreamreach_test.cpp
+++ b/src/balancing/tests/upstreamreach_test.cpp
@@ -64,3 +64,22 @@
     cr_assert_eq(it.probesDue(START + Duration(500)), 0, "probes are paced");
     cr_assert(probe(it, 2, START + Duration(700)) && !it.isCutOff());
 }
+
+// Guards against a host whose links hang, and that tells the others of failures before it knows that it is cut off.
+Test(upstreamReach, openAttemptsThatAreOverdueRaiseTheSuspicion)
+{
+    UpstreamReach it;
+    it.onOverdue(UpstreamId("a"), START, START + Duration(200));
+    cr_assert_eq(it.probesDue(START + Duration(200)), 0);
+    it.onOverdue(UpstreamId("b"), START + Duration(100), START + Duration(300));
+    cr_assert(probe(it, 0, START + Duration(300)) && it.isCutOff());
+}
+
+Test(upstreamReach, slowUpstreamsRaiseNoSuspicionWhileOthersAnswer)
+{
+    UpstreamReach it;
+    it.onAnswered(START + Duration(150));
+    it.onOverdue(UpstreamId("a"), START, START + Duration(200));
+    it.onOverdue(UpstreamId("b"), START + Duration(100), START + Duration(300));
+    cr_assert_eq(it.probesDue(START + Duration(300)), 0);
+}
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -481,6 +481,8 @@
 void RequestFlow::onProgressTimeout(TimePoint now)
 {
     m_attemptDeadline.reset();
+    if (m_stage == Stage::AwaitingHead)
+        m_context.reach.onOverdue(m_ticket->upstream, m_ticket->sentAt, now);
     const int hosts = m_context.host.sendingHostCount(now);
     if (!mayRetry(true, now) || !m_context.balancer.estimateLatency(m_target.requirements(now), hosts, now))
         return;
--- a/src/entry/internal/requestflowanswers.cpp
+++ b/src/entry/internal/requestflowanswers.cpp
@@ -36,6 +36,7 @@
     }
     m_responseInfo = info;
     m_headAt = now;
+    m_context.reach.onAnswered(now);
     if (!info.notExecuted && !wasRefusedUnexecuted(info))
         m_context.poisonGuard.onAnswerBegun(poison::AttemptNumber(m_ticket->number), now);
     // The attempt makes progress, so that its replacement is no longer wanted.
--- a/src/entry/tests/requestflow_test.cpp
+++ b/src/entry/tests/requestflow_test.cpp
@@ -431,6 +431,20 @@
     cr_assert(busy.back()->flow.isDone() && busy.front()->flow.isDone());
 }
 
+// Guards against a host whose links hang and that finds itself cut off only when its attempts have failed.
+Test(attempts, overdueAttemptsRaiseTheSuspicionOfACut)
+{
+    Deployment it;
+    FlowUnderTest flow(it, Deployment::request("/idempotent/1"));
+    const TimePoint firstOverdue = flow.actions.timerAt;
+    flow.flow.onTimer(firstOverdue);
+    cr_assert_eq(flow.actions.attempts.size(), 2, "the attempt is replaced");
+    cr_assert_eq(it.reach.probesDue(firstOverdue), 0);
+    const TimePoint secondOverdue = flow.actions.timerAt;
+    flow.flow.onTimer(secondOverdue);
+    cr_assert_gt(it.reach.probesDue(secondOverdue), 0);
+}
+
 Test(callers, disconnectCancelsAttempt)
 {
     Deployment it;
