review/2, 3, 4, 1: tests that fail on the code before the fixes

Whole hosts seen by their callers: a host with a short grace and all upstreams full that stops (review/3), a store that comes back from a copy (review/2), an order handed to a frozen host (review/4).

The fixture's store can be restored and answers offsets that it lacks as lost; the fixture has two routes of orders.

--- a/tests/entry/cutoffhost_test.cpp
+++ b/tests/entry/cutoffhost_test.cpp
@@ -161,6 +161,33 @@
     cr_assert_lt((it.loop.clock().now() - begin).count(), MAX_TIME.count());
 }
 
+// The other host is frozen: its kernel accepts what is handed to it, and it never answers. Guards against orders that
+// get no answer at their time-out (review/4).
+Test(cut_off_host, orderHandedToFrozenHostIsAnsweredAtItsTimeout, .timeout = 60)
+{
+    constexpr Duration MAX_DELAY { 500 };
+    Deployment it(2, 2);
+    it.configure(3);
+    for (std::size_t n = 0; n < 2; ++n)
+        it.await([&] { return it.addresses(n).size() == 2; }, "all hosts have discovered each other");
+    it.hosts[1].links->cut = Cut::Refusing;
+    const std::size_t sentBefore = it.received.size();
+    it.await([&] { return hasStatus(it.request(1, "/keyed/x", KEY_HEADER), STATUS_OK); }, "requests are handed over");
+    cr_assert_gt(it.received.size(), sentBefore);
+    const std::string frozenIp = it.hosts[0].settings.frontend.ip;
+    it.hosts[0].host.reset();
+    const boost::asio::ip::tcp::acceptor frozen(
+        it.loop.io(), { boost::asio::ip::make_address(frozenIp), static_cast<std::uint16_t>(FIRST_PEER_PORT + 1) });
+    const TimePoint sentAt = it.loop.clock().now();
+    RawPeer caller(it.loop, it.hosts[1].settings.frontend);
+    caller.send("POST /brief/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: order\r\nX-Deadline-Ms: 1500\r\n"
+                "Content-Length: 2\r\n\r\n{}");
+    caller.await("\r\n\r\n");
+    const Duration elapsed = it.loop.clock().now() - sentAt;
+    cr_assert(hasStatus(caller.received(), STATUS_GATEWAY_TIMEOUT), "%s", caller.received().c_str());
+    cr_assert(elapsed < BRIEF_ROUTE_TIMEOUT + MAX_DELAY, "after %ld ms", static_cast<long>(elapsed.count()));
+}
+
 // Guards against a revoked key that still works through a host that is cut off.
 Test(cut_off_host, handedOverRequestIsCheckedByTheHostThatSendsIt, .timeout = 60)
 {
--- a/tests/entry/handoverdriver_test.cpp
+++ b/tests/entry/handoverdriver_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr Duration ROUTE_TIMEOUT { 300 };
+constexpr Duration TIMEOUT { 300 };
 
 // Starts calls that stay open until the test fails them.
 class ScriptedClient final : public http::EventClient {
@@ -47,7 +47,7 @@
 // A host that hands the requests of its callers to others, which stay silent.
 struct HandingHost {
     explicit HandingHost(
-        bool mayRepeat = false, std::optional<Duration> timeout = ROUTE_TIMEOUT, http::EventClient* client = nullptr)
+        bool mayRepeat = false, std::optional<Duration> timeout = TIMEOUT, http::EventClient* client = nullptr)
         : acceptor(loop.io(), { boost::asio::ip::make_address(http::test::uniqueLoopbackIp(2)), 0 })
         , ownClient(http::EventClient::create(loop.io(), loop.clock()))
         , context { .loop = loop.io(),
@@ -110,8 +110,8 @@
     caller.await("\r\n\r\n");
     const Duration elapsed = it.loop.clock().now() - startedAt;
     cr_assert(hasStatus(caller.received(), STATUS_GATEWAY_TIMEOUT), "the other host may have run it");
-    cr_assert(elapsed >= ROUTE_TIMEOUT && elapsed < ROUTE_TIMEOUT + Duration(500), "after %ld ms",
-        static_cast<long>(elapsed.count()));
+    cr_assert(
+        elapsed >= TIMEOUT && elapsed < TIMEOUT + Duration(500), "after %ld ms", static_cast<long>(elapsed.count()));
 }
 
 // Guards against a request without a route that is handed to a frozen host and never answered (review/4).
@@ -129,26 +129,26 @@
 {
     constexpr Duration SPENT { 100 };
     ScriptedClient client;
-    HandingHost it(true, ROUTE_TIMEOUT, &client);
+    HandingHost it(true, TIMEOUT, &client);
     RawPeer caller(it.loop, it.address);
     caller.send(ORDER);
     it.loop.runUntil([&] { return client.started.size() == 1; }, "the request is handed over");
-    cr_assert_leq(deadlineOf(client.started[0]), ROUTE_TIMEOUT.count());
+    cr_assert_leq(deadlineOf(client.started[0]), TIMEOUT.count());
     std::this_thread::sleep_for(SPENT);
     client.failLast();
     cr_assert_eq(client.started.size(), 2);
-    cr_assert_leq(deadlineOf(client.started[1]), (ROUTE_TIMEOUT - SPENT).count());
+    cr_assert_leq(deadlineOf(client.started[1]), (TIMEOUT - SPENT).count());
 }
 
 // Guards against handing on, after a freeze, what nobody waits for any more (review/4).
 Test(handover_driver, requestWhoseTimeIsOverIsNotHandedOn)
 {
     ScriptedClient client;
-    HandingHost it(true, ROUTE_TIMEOUT, &client);
+    HandingHost it(true, TIMEOUT, &client);
     RawPeer caller(it.loop, it.address);
     caller.send(ORDER);
     it.loop.runUntil([&] { return client.started.size() == 1; }, "the request is handed over");
-    std::this_thread::sleep_for(ROUTE_TIMEOUT);
+    std::this_thread::sleep_for(TIMEOUT);
     client.failLast();
     cr_assert_eq(client.started.size(), 1);
     caller.await("\r\n\r\n");
@@ -158,7 +158,7 @@
 Test(handover_driver, requestOfCallerThatLeftIsNotHandedOn)
 {
     ScriptedClient client;
-    HandingHost it(true, ROUTE_TIMEOUT, &client);
+    HandingHost it(true, TIMEOUT, &client);
     RawPeer caller(it.loop, it.address);
     caller.send(ORDER);
     it.loop.runUntil([&] { return client.started.size() == 1; }, "the request is handed over");
--- a/tests/entry/hostfixture.h
+++ b/tests/entry/hostfixture.h
@@ -20,6 +20,8 @@
 using http::test::RawPeer;
 
 inline constexpr Duration REVOCATION { 1200 };
+inline constexpr Duration ROUTE_TIMEOUT { 5000 };
+inline constexpr Duration BRIEF_ROUTE_TIMEOUT { 800 };
 // The same on all hosts. Below the ports that the system assigns, so that no other listener of a host has it.
 inline constexpr std::uint16_t FIRST_PEER_PORT = 20'000;
 
@@ -27,14 +29,16 @@
 {
     using nlohmann::json;
     json routes = json::array();
-    const auto add = [&](const std::string& name, const std::string& prefix, bool anonymous) {
-        routes.push_back({ { "name", name }, { "host", "h" }, { "path_prefix", prefix }, { "type", "idempotent" },
-            { "timeout_ms", 5000 }, { "max_attempts", 2 }, { "anonymous", anonymous }, { "service", "s" } });
+    const auto add = [&](const std::string& name, const std::string& type, Duration timeout, bool anonymous) {
+        routes.push_back({ { "name", name }, { "host", "h" }, { "path_prefix", "/" + name + "/" }, { "type", type },
+            { "timeout_ms", timeout.count() }, { "max_attempts", 2 }, { "anonymous", anonymous }, { "service", "s" } });
     };
-    add("keyed", "/keyed/", false);
-    add("open", "/open/", true);
+    add("keyed", "idempotent", ROUTE_TIMEOUT, false);
+    add("open", "idempotent", ROUTE_TIMEOUT, true);
+    add("order", "non_idempotent", ROUTE_TIMEOUT, true);
+    add("brief", "non_idempotent", BRIEF_ROUTE_TIMEOUT, true);
     if (withSecondRoute)
-        add("later", "/later/", true);
+        add("later", "idempotent", ROUTE_TIMEOUT, true);
     return { { "version", version }, { "routes", routes },
         { "services", { { { "name", "s" }, { "max_connections", 50 } } } },
         { "tenants", { { { "name", "w" }, { "api_keys", { "secret" } } } } } };
@@ -88,6 +92,9 @@
         put(store::Topic::Operator, "config", configuration(version, withSecondRoute));
     }
 
+    SharedRecords copyOfStore() const { return m_records; }
+    void restoreStore(const SharedRecords& copy) { m_records.restore(copy); }
+
     // Sends one GET request; returns the raw bytes of the answer.
     std::string call(const http::Endpoint& address, const std::string& target, const std::string& headers = {})
     {
--- a/tests/entry/memorystore.h
+++ b/tests/entry/memorystore.h
@@ -18,6 +18,15 @@
     std::map<store::Topic, std::vector<store::KeyedRecord>> topics;
     // Highest epoch accepted from each producer.
     std::map<std::string, std::uint64_t> epochs;
+    store::Era era { 1 };
+
+    // The store comes back from an older copy of itself, and gives the offsets behind it to other records.
+    void restore(const SharedRecords& copy)
+    {
+        const store::Era next(era.value() + 1);
+        *this = copy;
+        era = next;
+    }
 };
 
 // One host's access to the shared records; fails while `reachable` is false.
@@ -46,7 +55,7 @@
             std::map<std::string, store::KeyedRecord> newest;
             for (const store::KeyedRecord& it : m_shared.topics[topic])
                 newest[it.key] = it;
-            store::SnapshotPage page { .records = {}, .endOffset = m_shared.topics[topic].size() };
+            store::SnapshotPage page { .records = {}, .endOffset = m_shared.topics[topic].size(), .era = m_shared.era };
             for (auto& [key, it] : newest) {
                 if (it.value)
                     page.records.push_back(it);
@@ -110,9 +119,12 @@
                 return done(
                     store::Outcome<store::RecordBatch>::failed(store::StoreError::NotExecuted, "store unreachable"));
             const auto& records = m_shared.topics[topic];
+            if (records.size() < offset)
+                return done(
+                    store::Outcome<store::RecordBatch>::failed(store::StoreError::HistoryLost, "no such offset"));
             if (records.size() <= offset && wait > POLL_INTERVAL)
                 return answerRead(topic, offset, wait - POLL_INTERVAL, done);
-            store::RecordBatch batch { .records = {}, .nextOffset = std::max<std::uint64_t>(offset, records.size()) };
+            store::RecordBatch batch { .records = {}, .nextOffset = records.size(), .era = m_shared.era };
             for (std::size_t n = offset; n < records.size(); ++n)
                 batch.records.push_back(records[n]);
             done({ .value = std::move(batch) });
--- /dev/null
+++ b/tests/entry/stoppinghost_test.cpp
@@ -0,0 +1,61 @@
+#include "hostfixture.h"
+
+#include <criterion/criterion.h>
+
+// Whole hosts that stop while requests are open, seen by their callers.
+using namespace fireflyhaven;
+using namespace fireflyhaven::test;
+
+namespace {
+
+constexpr Duration GRACE { 2000 };
+constexpr std::size_t CALLERS = 40;
+
+void setGrace(Host& host)
+{
+    host.settings.bounds.shutdownGrace = GRACE;
+    host.host->reload(host.settings);
+}
+
+// Stops the host as its process does on SIGTERM, up to the moment at which the process exits.
+void stop(Deployment& it, Host& host)
+{
+    bool stopped = false;
+    host.host->shutDown([&] { stopped = true; });
+    it.await([&] { return stopped; }, "the host has stopped");
+}
+
+std::unique_ptr<RawPeer> sendOrder(Deployment& it, const Host& host, std::size_t n)
+{
+    auto caller = std::make_unique<RawPeer>(it.loop, host.settings.frontend);
+    caller->send("POST /order/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: order-" + std::to_string(n)
+        + "\r\nContent-Length: 2\r\n\r\n{}");
+    return caller;
+}
+
+}
+
+// All upstreams are full when SIGTERM comes, and stay so. Guards against closing the connections of requests that wait
+// without an answer (review/3).
+Test(stopping_host, eachOpenRequestIsAnsweredBeforeItsConnectionEnds, .timeout = 60)
+{
+    Deployment it(1);
+    it.configure(3);
+    it.await([&] { return it.isReady(0); }, "the host is ready");
+    setGrace(it.hosts[0]);
+    it.holdAnswers = true;
+    std::vector<std::unique_ptr<RawPeer>> callers;
+    for (std::size_t n = 0; n < CALLERS; ++n)
+        callers.push_back(sendOrder(it, it.hosts[0], n));
+    it.await([&] { return !it.heldExchanges.empty(); }, "requests reach the upstream");
+    it.loop.runPending();
+    cr_assert_lt(it.heldExchanges.size(), CALLERS, "requests wait");
+    stop(it, it.hosts[0]);
+    const std::size_t sent = it.heldExchanges.size();
+    std::size_t notRun = 0;
+    for (const auto& caller : callers) {
+        cr_assert(caller->received().find("\r\n\r\n") != std::string::npos, "%s", caller->received().c_str());
+        notRun += hasStatus(caller->received(), STATUS_UNAVAILABLE) ? 1 : 0;
+    }
+    cr_assert_eq(notRun, CALLERS - sent, "what no upstream has run is refused as not run");
+}
