Handlers of open requests do not outlive their host

Cause: the servers go first and end the open requests; these post the removal of their drivers to the event loop, which runs it after the dispatchers are gone. In the daemon the loop does not run any more then, so that callers saw nothing. Change: the posted handlers know whether their dispatcher is still there. Evidence: stopping_host::hostIsDestroyedWithOpenRequests crashed before,

double free or corruption (!prev) [FAIL] stopping_host::hostIsDestroyedWithOpenRequests: CRASH!

and passes (3 of 3 runs).

--- a/src/entry/internal/handoverdispatcher.cpp
+++ b/src/entry/internal/handoverdispatcher.cpp
@@ -73,7 +73,10 @@
     *slot = std::make_unique<HandoverDriver>(
         m_context.handover, std::move(exchange), targets(m_context.handover.clock.now()), [this, slot] {
             // Deferred, because the driver is still executing one of its own callbacks.
-            boost::asio::post(m_context.handover.loop, [this, slot] { m_drivers.erase(slot); });
+            boost::asio::post(m_context.handover.loop, [this, slot, alive = std::weak_ptr(m_alive)] {
+                if (alive.lock())
+                    m_drivers.erase(slot);
+            });
         });
     (*slot)->begin();
 }
--- a/src/entry/internal/handoverdispatcher.h
+++ b/src/entry/internal/handoverdispatcher.h
@@ -40,6 +40,8 @@
     const Context m_context;
     std::list<std::unique_ptr<HandoverDriver>> m_drivers;
     std::uint64_t m_served = 0;
+    // Expires with the dispatcher, for handlers that the event loop runs later.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 // Address on which a host takes handed-over requests; no value if its settings leave no port for it.
--- a/src/entry/internal/requestdispatcher.cpp
+++ b/src/entry/internal/requestdispatcher.cpp
@@ -18,7 +18,10 @@
     *slot = std::make_unique<RequestDriver>(m_context, std::move(exchange), [this, slot] {
         m_byTicket.erase((*slot)->waitingTicket());
         // Deferred, because the driver is still executing one of its own callbacks.
-        boost::asio::post(m_context.loop, [this, slot] { m_requests.erase(slot); });
+        boost::asio::post(m_context.loop, [this, slot, alive = std::weak_ptr(m_alive)] {
+            if (alive.lock())
+                m_requests.erase(slot);
+        });
         scheduleDispatch();
     });
     m_byTicket[(*slot)->waitingTicket()] = slot->get();
@@ -53,7 +56,10 @@
     if (m_dispatchScheduled || m_serviceQueues.size() == 0)
         return;
     m_dispatchScheduled = true;
-    boost::asio::post(m_context.loop, [this] { dispatchQueued(); });
+    boost::asio::post(m_context.loop, [this, alive = std::weak_ptr(m_alive)] {
+        if (alive.lock())
+            dispatchQueued();
+    });
 }
 
 void RequestDispatcher::dispatchQueued()
--- a/src/entry/internal/requestdispatcher.h
+++ b/src/entry/internal/requestdispatcher.h
@@ -35,6 +35,8 @@
     Requests m_requests;
     std::map<admission::TicketId, RequestDriver*> m_byTicket;
     bool m_dispatchScheduled = false;
+    // Expires with the dispatcher, for handlers that the event loop runs later.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 }
--- a/tests/entry/stoppinghost_test.cpp
+++ b/tests/entry/stoppinghost_test.cpp
@@ -59,3 +59,20 @@
     }
     cr_assert_eq(notRun, CALLERS - sent, "what no upstream has run is refused as not run");
 }
+
+// Guards against handlers of open requests that run after their host was destroyed.
+Test(stopping_host, hostIsDestroyedWithOpenRequests, .timeout = 60)
+{
+    Deployment it(1);
+    it.configure(3);
+    it.await([&] { return it.isReady(0); }, "the host is ready");
+    it.holdAnswers = true;
+    std::vector<std::unique_ptr<RawPeer>> callers;
+    for (std::size_t n = 0; n < CALLERS; ++n)
+        callers.push_back(sendOrder(it, it.hosts[0], n));
+    it.await([&] { return !it.heldExchanges.empty(); }, "requests reach the upstream");
+    it.loop.runPending();
+    it.hosts[0].host.reset();
+    for (const auto& caller : callers)
+        caller->awaitClose();
+}
