A stopping host begins nothing that its exit cuts off

What callers saw: by reading, a host that is cut off from all upstreams while it stops goes on handing requests to others, of any kind and up to its last moment; so does a host with a grace below 4 s with its own requests in the 100 ms between the answers to all that is open and the exit. Their connections end without an answer.

--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -243,6 +243,8 @@
     {
         if (!m_drainingSince)
             return true;
+        if (m_requestsEnded)
+            return false;
         const bool streams = kind == catalog::RouteKind::Streaming;
         return now - *m_drainingSince < (streams ? ACCEPT_STREAMS_AFTER_TERM : ACCEPT_REQUESTS_AFTER_TERM);
     }
@@ -334,11 +336,22 @@
 
     void serveCaller(std::shared_ptr<http::Exchange> exchange)
     {
-        if (m_reach.isCutOff() && m_handoverDispatcher.canTake(m_clock.now()))
+        const TimePoint now = m_clock.now();
+        if (m_reach.isCutOff() && m_handoverDispatcher.canTake(now) && mayBegin(*exchange, now))
             return m_handoverDispatcher.serve(std::move(exchange));
         m_requestDispatcher.serve(std::move(exchange));
     }
 
+    // Whether a request of its kind can end before the process exits.
+    bool mayBegin(const http::Exchange& exchange, TimePoint now) const
+    {
+        if (!m_drainingSince)
+            return true;
+        const CallerRequest request = m_codec.decodeRequest(exchange.head());
+        const auto route = m_catalog.routes().find(request.host, request.path);
+        return route && acceptsRequests(route->kind, now);
+    }
+
     // Serves a request that another host has taken from its caller. It is never handed on again.
     void serveHandedOver(std::shared_ptr<http::Exchange> exchange)
     {
--- a/tests/entry/stoppinghost_test.cpp
+++ b/tests/entry/stoppinghost_test.cpp
@@ -60,6 +60,42 @@
     cr_assert_eq(notRun, CALLERS - sent, "what no upstream has run is refused as not run");
 }
 
+// A cut-off host hands requests to one whose upstreams are full while it stops. Guards against taking requests that the
+// exit of the process cuts off (review/3).
+Test(stopping_host, cutOffHostTakesNoRequestThatItsExitCutsOff, .timeout = 60)
+{
+    constexpr Duration INTERVAL { 10 };
+    // Time in which the host reads a request and refuses it.
+    constexpr Duration ANSWER_TIME { 50 };
+    struct Sent {
+        std::unique_ptr<RawPeer> caller;
+        TimePoint at {};
+    };
+    Deployment it(2, 2);
+    it.configure(3);
+    for (std::size_t n = 0; n < 2; ++n)
+        it.await([&] { return it.addresses(n).size() == 2; }, "all hosts have discovered each other");
+    it.hosts[1].links->cut = Cut::Refusing;
+    it.await([&] { return hasStatus(it.request(1, "/keyed/x", KEY_HEADER), STATUS_OK); }, "requests are handed over");
+    setGrace(it.hosts[1]);
+    it.holdAnswers = true;
+    std::vector<Sent> sent;
+    bool stopped = false;
+    it.hosts[1].host->shutDown([&] { stopped = true; });
+    while (!stopped) {
+        sent.push_back({ .caller = sendOrder(it, it.hosts[1], sent.size()), .at = it.loop.clock().now() });
+        const TimePoint next = it.loop.clock().now() + INTERVAL;
+        it.loop.runUntil([&] { return stopped || it.loop.clock().now() >= next; }, "the next request is due");
+    }
+    const TimePoint end = it.loop.clock().now();
+    it.loop.runPending();
+    for (const Sent& request : sent) {
+        const bool mayBeUnread = request.at > end - ANSWER_TIME;
+        cr_assert(mayBeUnread || request.caller->received().find("\r\n\r\n") != std::string::npos,
+            "sent %ld ms before the end", static_cast<long>((end - request.at).count()));
+    }
+}
+
 // Guards against handlers of open requests that run after their host was destroyed.
 Test(stopping_host, hostIsDestroyedWithOpenRequests, .timeout = 60)
 {
