An answer that is held back is delivered when its time is over or the host stops

What callers saw: by reading, a whole answer of low confidence, held back while a permit for a larger model is waited for, is dropped at the end of its time (504) or at the exit of the process (502). Change: such an answer is delivered; ready answers are, also late. Evidence: with the look taken out

[FAIL] upstreamLimits::heldAnswerIsDeliveredWhenItsTimeIsOverOrTheHostStops: (0.00s)

passes with it; permits are asked for up to 60 ms at a time, so that it was rare.

--- a/include/fireflyhaven/balancing/upstreamreach.h
+++ b/include/fireflyhaven/balancing/upstreamreach.h
@@ -8,8 +8,9 @@
 namespace fireflyhaven::balancing {
 
 // Whether this host can open connections to upstreams. Attempts without an answer at several upstreams raise the
-// suspicion that it cannot, also while they are still open if no upstream has answered meanwhile; then connections are opened to several upstreams as probes, and the host counts as cut off
-// if none succeeds. A host that is cut off goes on probing until its probes succeed. Does no I/O.
+// suspicion that it cannot, also while they are still open if no upstream has answered meanwhile; then connections are
+// opened to several upstreams as probes, and the host counts as cut off if none succeeds. A host that is cut off goes
+// on probing until its probes succeed. Does no I/O.
 class UpstreamReach {
 public:
     // An attempt at the upstream could not connect, or lost its connection.
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -131,6 +131,7 @@
     void beginAnswer(TimePoint now);
     // Goes on with the answer that was held back for a larger model.
     void releaseHeldAnswer(TimePoint now);
+    bool holdsWholeAnswer() const { return m_stage == Stage::HoldingAnswer && m_heldAnswerEnded; }
     void onStreamProgress(TimePoint now);
     // Applies the draining, backoff and limit notices that the upstream sent with its response.
     void applyUpstreamNotices(TimePoint now);
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -299,6 +299,8 @@
 {
     if (m_stage == Stage::Done)
         return;
+    if (holdsWholeAnswer())
+        return releaseHeldAnswer(now);
     if (m_ticket) {
         m_mayHaveRun = true;
         m_actions.cancelAttempt();
@@ -467,6 +469,8 @@
 void RequestFlow::onTimeOver(TimePoint now)
 {
     constexpr std::string_view REASON = "deadline exceeded";
+    if (holdsWholeAnswer())
+        return releaseHeldAnswer(now);
     const bool attemptOpen = m_ticket.has_value();
     recordGivenUpAttempt(now);
     if (attemptOpen)
--- a/src/entry/tests/awaitedrequest_test.cpp
+++ b/src/entry/tests/awaitedrequest_test.cpp
@@ -17,9 +17,8 @@
 void limitPlainUpstream(Deployment& it)
 {
     keepOnePlainUpstream(it);
-    it.limits.onAnswer({ .upstream = ratelimit::incarnationOf(UpstreamId("p0"), 0),
-                           .limit = RequestRate(1.8),
-                           .sentAt = START },
+    it.limits.onAnswer(
+        { .upstream = ratelimit::incarnationOf(UpstreamId("p0"), 0), .limit = RequestRate(1.8), .sentAt = START },
         START);
 }
 
--- a/src/entry/tests/requestlimits_test.cpp
+++ b/src/entry/tests/requestlimits_test.cpp
@@ -232,6 +232,29 @@
     }
 }
 
+// Guards against dropping an answer that is there while a larger model is waited for.
+Test(upstreamLimits, heldAnswerIsDeliveredWhenItsTimeIsOverOrTheHostStops)
+{
+    for (const bool hostStops : { true, false }) {
+        Deployment it;
+        limitEngines(it);
+        FlowUnderTest flow(it, Deployment::request("/stream/1"));
+        flow.flow.onPermitDecision(GRANTED, START);
+        ResponseInfo unsure = streamResponse(5);
+        unsure.requestLimit = LIMIT;
+        flow.receiveHead(unsure);
+        flow.receiveEvents(1, 3);
+        flow.flow.onAttemptEnd(START + Duration(30));
+        cr_assert(flow.actions.sentBytes.empty() && !flow.flow.isDone());
+        if (hostStops)
+            flow.flow.onHostStops(START + Duration(40));
+        else
+            flow.flow.onTimer(START + Duration(20'000));
+        cr_assert(flow.actions.finished && flow.actions.sentBytes.find("id: 3") != std::string::npos);
+        cr_assert(flow.flow.isDone() && !flow.actions.aborted);
+    }
+}
+
 // Guards against an answer that is joined from two runs: the first one fails while its events are held back.
 Test(upstreamLimits, heldEventsOfAFailedAttemptAreDropped)
 {
