--- a/src/rollout/tests/exposure_test.cpp
+++ b/src/rollout/tests/exposure_test.cpp
@@ -1,4 +1,4 @@
-#include "rolloutfixture.h"
+#include "loadedservice.h"
 
 #include <criterion/criterion.h>
 
@@ -6,125 +6,8 @@
 using namespace fireflyhaven::rollout;
 using namespace fireflyhaven::rollout::test;
 
-namespace {
-
-// Requests of 1.5 s each, on eight upstreams per version with `slots` slots each.
-class LoadedService {
-public:
-    explicit LoadedService(Deployment& deployment, int slots = 64)
-        : m_deployment(deployment)
-        , m_slots(slots)
-    {
-    }
-
-    // Updates each host with the capacity and the in-flight requests at the upstream under load test.
-    void updateCapacity(TimePoint now)
-    {
-        endRequests(now);
-        for (std::size_t host = 0; host < HOSTS; ++host) {
-            m_deployment.controller(host).onCapacity(SERVICE,
-                { .newSlots = 8 * m_slots,
-                    .oldSlots = 8 * m_slots,
-                    .newUpstreams = 8,
-                    .provingUpstream = UpstreamId("n" + std::to_string(m_proving)),
-                    .provingSlots = m_slots,
-                    .provingInFlight = inFlight("n" + std::to_string(m_proving)),
-                    .inFlight = static_cast<int>(m_running.size()),
-                    .newInFlight = static_cast<int>(std::count_if(m_running.begin(), m_running.end(),
-                        [](const Running& it) { return it.answer.version == NEW; })) });
-        }
-    }
-
-    // Sends a request through the host. Half of the new version's answers fail where the upstream's load is at least
-    // `failsAbove`.
-    void request(std::size_t host, std::uint64_t session, TimePoint now, double failsAbove)
-    {
-        RolloutController& controller = m_deployment.controller(host);
-        const VersionConstraint constraint
-            = controller.constraintFor(SERVICE, session, RequestProfile::ShortPrefillLongDecode, now);
-        const bool onNew = constraint.requiredVersion == NEW;
-        const std::string any = std::to_string(m_deployment.random()() % 8);
-        const std::string upstream
-            = constraint.requiredUpstream ? constraint.requiredUpstream->value() : (onNew ? "n" : "o") + any;
-        const double load = static_cast<double>(inFlight(upstream) + 1) / m_slots;
-        const bool fails = onNew && load >= failsAbove && m_deployment.random()() % 2 == 0;
-        controller.onSessionUsed(SERVICE, session, onNew ? NEW : OLD, now);
-        m_running.push_back({ .host = host,
-            .until = now + Duration(1500),
-            .answer = { .service = SERVICE,
-                .route = ROUTE,
-                .version = onNew ? NEW : OLD,
-                .upstream = UpstreamId(upstream),
-                .kind = fails ? AnswerKind::Failed : AnswerKind::Good,
-                .load = load } });
-        // A failing upstream is taken out of use, and the load test continues at the next one.
-        m_failures += fails ? 1 : 0;
-        if (m_failures >= 3) {
-            m_failures = 0;
-            ++m_proving;
-        }
-        onNewCount += onNew ? 1 : 0;
-        ++count;
-    }
-
-    static constexpr std::size_t HOSTS = 8;
-    int onNewCount = 0;
-    int count = 0;
-
-private:
-    struct Running {
-        std::size_t host = 0;
-        TimePoint until {};
-        AnswerSample answer;
-    };
-
-    // Hands the answers that are due to the hosts that wait for them.
-    void endRequests(TimePoint now)
-    {
-        for (const Running& it : m_running) {
-            if (it.until > now)
-                continue;
-            m_deployment.controller(it.host).onAnswer(it.answer, now);
-            m_deployment.onAnswered(it.host, it.answer.version);
-        }
-        std::erase_if(m_running, [&](const Running& it) { return it.until <= now; });
-    }
-
-    int inFlight(const std::string& upstream) const
-    {
-        return static_cast<int>(std::count_if(m_running.begin(), m_running.end(),
-            [&](const Running& it) { return it.answer.upstream == UpstreamId(upstream); }));
-    }
-
-    Deployment& m_deployment;
-    const int m_slots;
-    std::vector<Running> m_running;
-    int m_proving = 0;
-    int m_failures = 0;
-};
-
-// Sends 45 requests per second for the duration of the order.
-LoadedService runRolloutUnderLoad(Deployment& it, double failsAbove, int slots = 64)
-{
-    LoadedService service(it, slots);
-    it.order();
-    for (TimePoint now = START; now < START + ORDER_TIME; now += Duration(22)) {
-        if ((now - START).count() % 110 == 0)
-            service.updateCapacity(now);
-        if ((now - START).count() % 220 == 0)
-            it.exchangeReports(now);
-        const std::uint64_t session = (it.random()() % 400) * 7919 + 1;
-        const std::size_t host = it.random()() % LoadedService::HOSTS;
-        service.request(host, session, now, failsAbove);
-    }
-    return service;
-}
-
-}
-
-// A version fails only above half of an upstream's slots, a load that the few sessions of the trial never reach.
-// Without a load test such versions got 19 % and 36 % of the requests in scenario bad-version-during-burst of the two
-// sites.
+// A version fails only above half of an upstream's slots, a load that the few sessions of the trial never reach. Guards
+// against moving all requests to it without a load test.
 Test(rollout, failuresUnderLoadRollBackWithinExposureBound)
 {
     Deployment it(LoadedService::HOSTS);
@@ -134,8 +17,7 @@
 }
 
 // The upstreams of a large deployment are highly loaded, and the version fails only above the minimum proving load.
-// Guards against a load test below the load that the version reaches once it serves all requests. Seen in scenario
-// version-fails-under-load of the grown sites.
+// Guards against a load test below the load that the version reaches once it serves all requests.
 Test(rollout, provingLoadScalesWithServiceLoad)
 {
     constexpr int SLOTS = 14;
@@ -146,8 +28,7 @@
 }
 
 // There are too few requests to load-test an upstream, and a bad version shows no failures before the end of its order.
-// The move has to be late enough to keep the exposure bound in this case too. Seen in scenario bad-version-during-burst
-// of both sites.
+// The move has to be late enough to keep the exposure bound in this case too.
 Test(rollout, unprovenVersionMovesWithinExposureBound)
 {
     constexpr int SLOTS = 2'000;
@@ -192,8 +73,7 @@
 }
 
 // 3 of 31 answers under load have failed at the end of the proving stage, too few to fail the load test. Guards against
-// moving all requests to a version that has not passed it. Seen in scenario bad-version-during-burst of Vitalkör, seed
-// 60534991553.
+// moving all requests to a version that has not passed it.
 Test(rollout, suspectUnprovenVersionRolledBack)
 {
     cr_assert(stageAfterProving(28, 3, 0) == Stage::RolledBack);
@@ -204,8 +84,6 @@
 Test(rollout, baselineFailureRateToleratedUnderLoad) { cr_assert(stageAfterProving(27, 3, 10) == Stage::Replacing); }
 
 // A version can pass the load test and fail later at a higher load. Guards against an early move after a passed test.
-// Seen in scenario bad-version-during-burst of lavaclaro-quito-grown, seed 727980974020: after 40 good answers and no
-// failure under load, 3,701 of 11,694 requests went to the bad version.
 Test(rollout, provenVersionMovesWithinExposureBound)
 {
     Deployment it(LoadedService::HOSTS);
@@ -239,7 +117,7 @@
 }
 
 // Guards against a budget that is estimated from a few sessions: the bound has to hold for each seed, whatever the
-// share of the sessions on trial turns out to be. Seen in under-load-calm on vitalkor-routing.
+// share of the sessions on trial turns out to be.
 Test(rollout, exposureBoundHoldsForEachSeed)
 {
     constexpr double NEVER = 2;
--- a/src/rollout/tests/rollout_test.cpp
+++ b/src/rollout/tests/rollout_test.cpp
@@ -1,4 +1,4 @@
-#include "rolloutfixture.h"
+#include "rolloutrun.h"
 
 #include <criterion/criterion.h>
 
@@ -6,42 +6,6 @@
 using namespace fireflyhaven::rollout;
 using namespace fireflyhaven::rollout::test;
 
-namespace {
-
-struct Outcome {
-    int requests = 0;
-    int newVersionRequests = 0;
-    int badAnswers = 0;
-    int afterFiftyBad = 0;
-    std::optional<TimePoint> rejectedAt;
-};
-
-// Sends 40 requests per second through random hosts for the duration of the order. The share of the new version's
-// answers that are `badAnswer` is `badShare` of the order's age.
-template <typename BadShare>
-Outcome runRollout(Deployment& it, int hosts, BadShare badShare, Answer badAnswer = Answer::Failed)
-{
-    Outcome outcome;
-    it.order();
-    for (TimePoint now = START; now < START + ORDER_TIME; now += Duration(25)) {
-        const auto host = static_cast<std::size_t>(it.random()() % static_cast<unsigned>(hosts));
-        const std::uint64_t session = it.random()() % 400;
-        const double share = badShare(now - START);
-        const bool good = static_cast<double>(it.random()() % 1000) >= share * 1000;
-        const bool onNew = it.request(host, session * 7919 + 1, now, good ? Answer::Good : badAnswer);
-        ++outcome.requests;
-        outcome.newVersionRequests += onNew ? 1 : 0;
-        outcome.badAnswers += onNew && !good ? 1 : 0;
-        if ((now - START).count() % 250 == 0)
-            it.exchangeReports(now);
-        if (!outcome.rejectedAt && it.controller(0).stageOf(SERVICE, now) == Stage::RolledBack)
-            outcome.rejectedAt = now;
-    }
-    return outcome;
-}
-
-}
-
 Test(rollout, goodVersionCompletesBeforeDeadline)
 {
     Deployment it(8);
@@ -126,7 +90,7 @@
 }
 
 // Answers that take twice as long are not certain to be slower by the end of the trial. Guards against moving all
-// requests to such a version. Seen in scenario slow-version-and-grey-upstreams of Urna Viva.
+// requests to such a version.
 Test(rollout, inconclusiveSlowdownAtTrialEndRollsBack)
 {
     Deployment it(8);
@@ -137,8 +101,7 @@
         outcome.requests);
 }
 
-// Guards against rolling back a good version because its first full load makes some answers slow. Evaluating response
-// times after the trial caused this in half of the runs of scenario quiet-1 of Urna Viva.
+// Guards against rolling back a good version because its first full load makes some answers slow.
 Test(rollout, transientSlowAnswersDoNotRollBack)
 {
     int rejected = 0;
@@ -153,7 +116,7 @@
 }
 
 // One host rejects a version while another writes the status Completed. Guards against every request being refused from
-// then on. Seen in scenario quiet-1 of Urna Viva.
+// then on.
 Test(rollout, completedStatusOverridesRejection)
 {
     RolloutController it;
@@ -250,7 +213,7 @@
 }
 
 // A second order replaces one whose version was rolled back. Guards against requests going to the rolled back version
-// again. Seen in scenario mix of Vitalkör, seed 798915736156: it got a third of all requests.
+// again.
 Test(rollout, rejectedVersionStaysExcludedAfterNewOrder)
 {
     RolloutController it;
