--- a/tests/entry/hostfixture.h
+++ b/tests/entry/hostfixture.h
@@ -87,6 +87,8 @@
     {
         m_records.topics[topic].push_back({ .key = key, .value = value.dump() });
     }
+    void remove(store::Topic topic, const std::string& key) { m_records.topics[topic].push_back({ .key = key }); }
+    void addHost() { startHost(hosts.size()); }
     void configure(int version, bool withSecondRoute = false)
     {
         put(store::Topic::Operator, "config", configuration(version, withSecondRoute));
