--- a/src/http/tests/eventserver_test.cpp
+++ b/src/http/tests/eventserver_test.cpp
@@ -28,10 +28,10 @@
 // A server on a free port that collects the requests and leaves the responses to the test.
 class ServerFixture {
 public:
-    explicit ServerFixture(RequestLimits limits = {})
+    explicit ServerFixture(RequestLimits limits = {}, std::size_t maxConnections = EventServerOptions {}.maxConnections)
     {
         address = loop.freeEndpoint(test::uniqueLoopbackIp());
-        const EventServerOptions options { .listen = address, .limits = limits };
+        const EventServerOptions options { .listen = address, .maxConnections = maxConnections, .limits = limits };
         handleFailure(
             [&]() -> Result<int> {
                 BOOST_LEAF_ASSIGN(server, EventServer::start(loop.io(), loop.clock(), options, [this](auto exchange) {
@@ -116,6 +116,42 @@
     it.awaitExchange();
 }
 
+// Guards against a limit of connections that drops requests: what it leaves no room for waits for a connection to end.
+Test(event_server, requestBeyondTheConnectionLimitWaits)
+{
+    ServerFixture it({}, 1);
+    RawPeer first(it.loop, it.address);
+    first.send("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    it.awaitExchange(1);
+    RawPeer second(it.loop, it.address);
+    second.send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    it.loop.runPending();
+    cr_assert_eq(it.exchanges.size(), 1);
+    it.sendResponse(1, "one");
+    first.await("one");
+    first.close();
+    it.sendResponse(2, "two");
+    second.await("two");
+}
+
+// Guards against limits of a new configuration that cut off a request on its way.
+Test(event_server, newLimitsBindLaterRequestsOnly)
+{
+    const std::string body(1000, 'x');
+    const std::string head = "POST / HTTP/1.1\r\n" + HOST_HEADER + "Content-Length: 1000\r\n\r\n";
+    ServerFixture it({ .maxBodyBytes = 2000 });
+    RawPeer caller(it.loop, it.address);
+    caller.send(head + body.substr(0, 500));
+    it.loop.runUntil([&] { return it.server->openConnections() == 1; }, "the connection is accepted");
+    it.loop.runPending();
+    it.server->setLimits({ .maxBodyBytes = 800 });
+    caller.send(body.substr(500));
+    cr_assert(*it.awaitExchange(1).body() == body);
+    it.sendResponse(1, "done");
+    caller.await("done");
+    cr_assert(it.statusLineOfRejection(head + body).find("413") != std::string::npos);
+}
+
 // A caller that closes only its sending side counts as one that has left, since nothing tells the two apart.
 Test(event_server, callerThatClosesItsSendingSideHasLeft)
 {
--- a/tests/entry/stoppinghost_test.cpp
+++ b/tests/entry/stoppinghost_test.cpp
@@ -67,6 +67,23 @@
     cr_assert_eq(notRun, CALLERS - sent, "what no upstream has run is refused as not run");
 }
 
+// Guards against a second SIGTERM that ends the process before its requests are answered.
+Test(stopping_host, secondSignalChangesNothing, .timeout = 60)
+{
+    Deployment it(1);
+    const std::vector<std::unique_ptr<RawPeer>> callers = fillUpstream(it);
+    setGrace(it.hosts[0]);
+    bool stoppedTwice = false;
+    bool stopped = false;
+    it.hosts[0].host->shutDown([&] { stopped = true; });
+    it.loop.runPending();
+    it.hosts[0].host->shutDown([&] { stoppedTwice = true; });
+    it.await([&] { return stopped; }, "the host has stopped");
+    cr_assert_not(stoppedTwice);
+    for (const auto& caller : callers)
+        cr_assert(caller->received().find("\r\n\r\n") != std::string::npos, "%s", caller->received().c_str());
+}
+
 // A cut-off host hands requests to one whose upstreams are full while it stops. Guards against taking requests that the
 // exit of the process cuts off (review/3).
 Test(stopping_host, cutOffHostTakesNoRequestThatItsExitCutsOff, .timeout = 60)
