--- a/apps/platformdaemon.cpp
+++ b/apps/platformdaemon.cpp
@@ -26,6 +26,7 @@
 struct DaemonOptions {
     std::string logLevel = "info";
     long metricsPort = 0;
+    long startupWaitMs = entry::EntrySettings().startupWait.count();
     bool naivePolicy = false;
     bool flatExchange = false;
     bool checkSettings = false;
@@ -38,6 +39,10 @@
         { "log-level", "LEVEL", "debug, info, warn, error or off.", setText(it.logLevel) },
         { "metrics-port", "PORT", "Port for metrics and the state dump, on the IP address for callers; 0 disables it.",
             setInteger(it.metricsPort, 0, 65535) },
+        { "startup-wait", "MS",
+            "Time after the start in which requests wait for the configuration instead of being refused; 0 disables "
+            "it.",
+            setInteger(it.startupWaitMs, 0, 10'000) },
         { "naive-policy", "", "Random upstream, always the largest model (baseline for measurements).",
             setFlag(it.naivePolicy) },
         { "flat-exchange", "", "Each host reports directly to all other hosts (baseline for measurements).",
@@ -50,6 +55,7 @@
 Result<entry::EntrySettings> combineSettings(const std::string& text, const DaemonOptions& options)
 {
     BOOST_LEAF_AUTO(it, platform::parseSettings(text));
+    it.startupWait = Duration(options.startupWaitMs);
     it.naivePolicy = options.naivePolicy;
     it.flatExchange = options.flatExchange;
     if (options.metricsPort == 0)
--- a/include/fireflyhaven/entry/flowcontext.h
+++ b/include/fireflyhaven/entry/flowcontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fireflyhaven/admission/servicequeues.h"
+#include "fireflyhaven/admission/startupqueue.h"
 #include "fireflyhaven/balancing/balancer.h"
 #include "fireflyhaven/balancing/upstreamreach.h"
 #include "fireflyhaven/dispatch/retrybudgets.h"
@@ -17,6 +18,8 @@
 class IHostView {
 public:
     virtual ~IHostView() = default;
+    // Whether the configuration and the registered upstreams have been read completely since the start.
+    virtual bool isCatalogLoaded() const = 0;
     // Whether the operator's records were confirmed recently enough to accept an API key.
     virtual bool mayAcceptKeys(TimePoint now) const = 0;
     // Whether the local copy of the store is current, so that a route or key missing from it does not exist.
@@ -62,6 +65,7 @@
     rollout::RolloutController& rollouts;
     dispatch::RetryBudgets& retries;
     admission::ServiceQueues& serviceQueues;
+    admission::StartupQueue& startupQueue;
     ratelimit::LimitTable& limits;
     ILimitLink& limitLink;
     poison::PoisonGuard& poisonGuard;
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -57,6 +57,8 @@
     void onAttemptEnd(TimePoint now);
     void onAttemptFailed(http::SendState state, const std::string& reason, TimePoint now);
     void onTimer(TimePoint now);
+    // Called when this host has loaded the configuration and the upstreams for the first time.
+    void onCatalogLoaded(TimePoint now);
     void onCallerGone(TimePoint now);
     // Called when the request was taken from its service queue to be sent. Returns false if no upstream can take it
     // yet; the request is then put back into the queue.
@@ -70,11 +72,15 @@
 
     bool isDone() const { return m_stage == Stage::Done; }
     admission::TicketId waitingTicket() const { return m_waitingTicket; }
+    // Priority of the request by the present configuration; 0 is the most urgent.
+    int priority() const;
 
 private:
     enum class Stage {
         // Neither queued nor sent.
         Received,
+        // In the startup queue until this host has loaded the configuration and the upstreams.
+        AwaitingCatalog,
         // In a service queue until an upstream can take it.
         Waiting,
         // Neither queued nor sent; waits for the permit to be sent to a limited upstream.
@@ -90,6 +96,10 @@
         Done,
     };
 
+    // Puts the request into the startup queue; returns false if that does not take it.
+    bool awaitCatalog(TimePoint now);
+    // Admits and dispatches the request.
+    void start(TimePoint now);
     // Sets the route and the caller; returns false if the request was answered because it cannot be routed.
     bool admit(TimePoint now);
     bool authenticate(TimePoint now);
@@ -152,6 +162,8 @@
     Duration spread(Duration retryAfter, double minFactor, double maxFactor) const;
     void respondLocally(
         FlowStep step, int status, std::optional<Duration> retryAfter, std::string_view reason, TimePoint now);
+    // Removes the request from the queue that it waits in, if any.
+    void leaveQueue();
     void end();
     void armTimer();
     void reportFailedAttempt(std::string_view reason, TimePoint now);
--- a/include/fireflyhaven/entry/types/request.h
+++ b/include/fireflyhaven/entry/types/request.h
@@ -30,6 +30,7 @@
     std::uint32_t expectedOutputTokens = 0;
     // In prompt order; the last part is specific to the request or to its session.
     std::vector<balancing::PromptPart> promptParts;
+    std::size_t bodyBytes = 0;
     // The request as a whole; no value before its body has been read.
     std::optional<RequestDigest> digest;
     // ID of the last event that the caller has received; a stream is to continue after it.
--- a/include/fireflyhaven/entry/types/settings.h
+++ b/include/fireflyhaven/entry/types/settings.h
@@ -86,6 +86,9 @@
     ServiceBounds bounds;
     // IP addresses of hosts used to discover the others; some may be outdated.
     std::vector<std::string> seedIps;
+    // Time from the start of the process during which requests wait for the configuration to be loaded; zero if they
+    // are refused at once.
+    Duration startupWait { 1500 };
     // The whole system starts for the first time, all hosts at once.
     bool bootstrap = false;
     // Full-mesh report exchange without aggregators, regardless of the number of hosts; a baseline for measurements.
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -123,11 +123,21 @@
         } else {
             onReadSucceeded(feed, { .host = read.source, .age = outcome.value->sourceAge });
             onValue(*outcome.value);
+            checkLoaded();
         }
         advance(feed);
     };
 }
 
+void CatalogSync::checkLoaded()
+{
+    const bool complete = m_operatorFeed.reader.feed().confirmedAt() && m_upstreamFeed.reader.feed().confirmedAt();
+    if (m_loaded || !complete || !m_context.catalog.hasConfiguration())
+        return;
+    m_loaded = true;
+    m_context.listener.onCatalogLoaded();
+}
+
 void CatalogSync::startRead(Feed& feed, const store::TopicRead& read)
 {
     const std::uint64_t number = ++feed.reads;
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -15,6 +15,8 @@
 public:
     virtual ~ICatalogListener() = default;
     virtual void onConfiguration() = 0;
+    // The configuration and the registered upstreams have been read completely for the first time.
+    virtual void onCatalogLoaded() = 0;
     virtual void onRolloutOrder(const catalog::RolloutOrder& order) = 0;
     virtual void onRolloutWithdrawn(const ServiceName& service) = 0;
     virtual void onRolloutStatus(const catalog::RolloutStatus& status) = 0;
@@ -53,6 +55,8 @@
 
     // Time up to which the operator's records are known to be complete; no value before the first snapshot.
     std::optional<TimePoint> operatorConfirmedAt() const { return m_operatorFeed.reader.feed().confirmedAt(); }
+    // Whether the configuration and the registered upstreams have been read completely.
+    bool isLoaded() const { return m_loaded; }
     bool operatorReadsFail() const { return m_operatorFeed.reader.feed().failingSince().has_value(); }
     bool reachesStore() const { return m_sourceSelector.reachesStore(); }
     // Era of the store that the operator's records were read in; no value where the store does not tell it.
@@ -94,6 +98,7 @@
     void onReadFailed(Feed& feed, const store::TopicRead& read, store::StoreError error, std::string_view reason);
     void onReadSucceeded(Feed& feed, ReadOrigin origin);
     void applyUpdate(Feed& feed, store::FeedUpdate update);
+    void checkLoaded();
     // Prepares the first snapshot of a new era: leaves out the records of the copy that this host has newer, and keeps
     // what the copy lacks.
     void keepNewerThan(Feed& feed, store::FeedUpdate& copy);
@@ -115,6 +120,7 @@
     Feed m_upstreamFeed;
     Feed m_statusFeed;
     bool m_storeLost = false;
+    bool m_loaded = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -75,6 +75,7 @@
         , m_escalationPolicy({ .alwaysLargest = m_settings.naivePolicy })
         , m_rollouts(rolloutOptions(m_settings.bounds))
         , m_retries(retryOptions(m_settings.bounds, 1))
+        , m_startupQueue({ .period = m_settings.startupWait }, clock.now())
         , m_client(createUpstreamClient
                   ? createUpstreamClient()
                   : http::EventClient::create(loop, clock, { .userTimeout = UPSTREAM_USER_TIMEOUT }))
@@ -119,6 +120,7 @@
             .rollouts = m_rollouts,
             .retries = m_retries,
             .serviceQueues = m_serviceQueues,
+            .startupQueue = m_startupQueue,
             .limits = m_limits,
             .limitLink = m_limitLink,
             .poisonGuard = m_poisonGuard,
@@ -222,6 +224,7 @@
         pollShutdown();
     }
 
+    bool isCatalogLoaded() const override { return m_catalogSync.isLoaded(); }
     bool mayAcceptKeys(TimePoint now) const override
     {
         const auto confirmed = m_catalogSync.operatorConfirmedAt();
@@ -260,6 +263,11 @@
         if (m_handoverServer)
             m_handoverServer->setLimits(limits);
     }
+    void onCatalogLoaded() override
+    {
+        telemetry::logEvent(spdlog::level::info, "catalog_loaded", { { "requests_waiting", m_startupQueue.size() } });
+        m_requestDispatcher.onCatalogLoaded();
+    }
     void onRolloutOrder(const catalog::RolloutOrder& order) override
     {
         telemetry::logEvent(spdlog::level::info, "rollout_ordered",
@@ -550,6 +558,7 @@
     rollout::RolloutController m_rollouts;
     dispatch::RetryBudgets m_retries;
     admission::ServiceQueues m_serviceQueues;
+    admission::StartupQueue m_startupQueue;
     balancing::UpstreamReach m_reach;
     std::unique_ptr<http::EventClient> m_client;
     // For requests that are handed to other hosts.
--- a/src/entry/internal/requestdispatcher.cpp
+++ b/src/entry/internal/requestdispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace fireflyhaven::entry {
@@ -45,6 +46,17 @@
         it->second->onPermitDecision(decision);
 }
 
+void RequestDispatcher::onCatalogLoaded()
+{
+    std::vector<RequestDriver*> waiting;
+    for (const auto& it : m_requests)
+        waiting.push_back(it.get());
+    std::stable_sort(waiting.begin(), waiting.end(),
+        [](const RequestDriver* a, const RequestDriver* b) { return a->priority() < b->priority(); });
+    for (RequestDriver* it : waiting)
+        it->onCatalogLoaded();
+}
+
 void RequestDispatcher::endAll()
 {
     for (const auto& it : m_requests)
--- a/src/entry/internal/requestdispatcher.h
+++ b/src/entry/internal/requestdispatcher.h
@@ -19,6 +19,9 @@
     void dispatchQueued();
     // Delivers the decision on a request's permit.
     void onPermitDecision(admission::TicketId request, const ratelimit::PermitDecision& decision);
+    // Starts the requests that arrived before this host had loaded the configuration and the upstreams, the most urgent
+    // first.
+    void onCatalogLoaded();
     // Answers all open requests, because the process exits.
     void endAll();
     std::size_t openRequests() const { return m_requests.size(); }
--- a/src/entry/internal/requestdriver.cpp
+++ b/src/entry/internal/requestdriver.cpp
@@ -9,7 +9,9 @@
 CallerRequest decodeRequest(const IWireCodec& codec, const http::Exchange& exchange)
 {
     CallerRequest request = codec.decodeRequest(exchange.head());
-    request.digest = digestOf(request, exchange.head(), exchange.body() ? *exchange.body() : std::string());
+    const auto body = exchange.body();
+    request.bodyBytes = body ? body->size() : 0;
+    request.digest = digestOf(request, exchange.head(), body ? *body : std::string());
     return request;
 }
 
@@ -46,6 +48,12 @@
     return handled;
 }
 
+void RequestDriver::onCatalogLoaded()
+{
+    m_flow.onCatalogLoaded(now());
+    notifyIfDone();
+}
+
 void RequestDriver::onShed()
 {
     m_flow.onShed(now());
--- a/src/entry/internal/requestdriver.h
+++ b/src/entry/internal/requestdriver.h
@@ -32,8 +32,10 @@
     // Called when a more urgent request has displaced this one from the service queue.
     void onShed();
     void onHostStops();
+    void onCatalogLoaded();
     void onPermitDecision(const ratelimit::PermitDecision& decision);
     admission::TicketId waitingTicket() const { return m_flow.waitingTicket(); }
+    int priority() const { return m_flow.priority(); }
 
 private:
     void startAttempt(const AttemptPlan& plan) override;
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -1,6 +1,5 @@
 #include "fireflyhaven/entry/requestflow.h"
 
-#include "fireflyhaven/common/hash.h"
 #include "fireflyhaven/http/types/status.h"
 
 #include <algorithm>
@@ -14,8 +13,6 @@
 // Retry delay sent to refused callers if no estimate of the wait exists, and the lower bound of an estimate.
 constexpr Duration MIN_RETRY_AFTER { 300 };
 constexpr Duration MAX_RETRY_AFTER { 2000 };
-constexpr double MIN_RETRY_SPREAD = 0.75;
-constexpr double MAX_RETRY_SPREAD = 1.25;
 // Before the time that the issuer of permits has named, a return is useless.
 constexpr double MIN_LIMIT_RETRY_SPREAD = 1;
 constexpr double MAX_LIMIT_RETRY_SPREAD = 1.25;
@@ -49,63 +46,11 @@
 
 RequestFlow::~RequestFlow()
 {
-    if (m_stage == Stage::Waiting)
-        m_context.serviceQueues.remove(m_target.service(), m_waitingTicket);
+    leaveQueue();
     if (m_ticket)
         m_context.balancer.onEnded(*m_ticket, SendOutcome::Cancelled, m_receivedAt);
 }
 
-void RequestFlow::begin(TimePoint now)
-{
-    m_receivedAt = now;
-    if (!admit(now))
-        return;
-    m_target.selectFrom(*m_route);
-    m_context.retries.onRequest(m_target.service(), now);
-    m_deadline = now + std::min(m_request.deadline.value_or(m_route->timeout), m_route->timeout);
-    dispatch(now);
-    armTimer();
-}
-
-bool RequestFlow::admit(TimePoint now)
-{
-    const catalog::Catalog& catalog = m_context.catalog;
-    if (!catalog.hasConfiguration()) {
-        respondLocally(FlowStep::Refused, STATUS_UNAVAILABLE, MIN_RETRY_AFTER, "no configuration loaded yet", now);
-        return false;
-    }
-    m_route = catalog.routes().find(m_request.host, m_request.path);
-    if (!m_route || m_route->services.empty()) {
-        // The local copy may lack a new route while the store cannot be read, so 404 needs a current copy.
-        const bool catalogCurrent = m_context.host.isCatalogCurrent(now);
-        respondLocally(catalogCurrent ? FlowStep::Rejected : FlowStep::Refused,
-            catalogCurrent ? STATUS_NOT_FOUND : STATUS_UNAVAILABLE,
-            catalogCurrent ? std::nullopt : std::optional(MIN_RETRY_AFTER), "no matching route", now);
-        return false;
-    }
-    if (!m_context.host.acceptsRequests(m_route->kind, now)) {
-        respondLocally(FlowStep::Refused, STATUS_UNAVAILABLE, Duration(0), "host is draining", now);
-        return false;
-    }
-    return !catalog.requiresApiKeys() || m_route->anonymous || authenticate(now);
-}
-
-bool RequestFlow::authenticate(TimePoint now)
-{
-    if (!m_context.host.mayAcceptKeys(now)) {
-        refuse(STATUS_UNAVAILABLE, MIN_RETRY_AFTER, "API keys not confirmed recently enough", now);
-        return false;
-    }
-    m_caller = m_request.key ? m_context.catalog.callerOf(*m_request.key) : std::nullopt;
-    if (m_caller)
-        return true;
-    const bool catalogCurrent = m_context.host.isCatalogCurrent(now);
-    respondLocally(catalogCurrent ? FlowStep::Rejected : FlowStep::Refused,
-        catalogCurrent ? STATUS_UNAUTHORIZED : STATUS_UNAVAILABLE,
-        catalogCurrent ? std::nullopt : std::optional(MIN_RETRY_AFTER), "unknown API key", now);
-    return false;
-}
-
 void RequestFlow::dispatch(TimePoint now)
 {
     if (!trySend(now) && m_stage != Stage::Done)
@@ -248,11 +193,10 @@
 
 admission::WaitingRequest RequestFlow::waitingRequest() const
 {
-    const int priority = m_caller && m_caller->priority ? *m_caller->priority : m_route->priority;
     return { .id = m_waitingTicket,
         .service = m_target.service(),
         .workspace = m_caller ? m_caller->workspace : WorkspaceId(),
-        .priority = priority,
+        .priority = priority(),
         .startBy = m_deadline };
 }
 
@@ -439,21 +383,6 @@
     refuse(STATUS_UNAVAILABLE, wait, reason, now);
 }
 
-void RequestFlow::refuse(int status, std::optional<Duration> retryAfter, std::string_view reason, TimePoint now)
-{
-    if (retryAfter)
-        retryAfter = spread(*retryAfter, MIN_RETRY_SPREAD, MAX_RETRY_SPREAD);
-    respondLocally(FlowStep::Refused, status, retryAfter, reason, now);
-}
-
-// Multiplies the retry delay by a factor from a hash of the attempt ID, so that callers refused together do not retry
-// together.
-Duration RequestFlow::spread(Duration retryAfter, double minFactor, double maxFactor) const
-{
-    const double factor = minFactor + (maxFactor - minFactor) * unitInterval(stableHash(m_request.attempt.value()));
-    return Duration(static_cast<Duration::rep>(static_cast<double>(retryAfter.count()) * factor));
-}
-
 void RequestFlow::onTimer(TimePoint now)
 {
     if (m_stage == Stage::Done)
@@ -471,6 +400,8 @@
     constexpr std::string_view REASON = "deadline exceeded";
     if (holdsWholeAnswer())
         return releaseHeldAnswer(now);
+    if (m_stage == Stage::AwaitingCatalog)
+        return failRequest("no configuration loaded yet", now);
     const bool attemptOpen = m_ticket.has_value();
     recordGivenUpAttempt(now);
     if (attemptOpen)
@@ -518,8 +449,7 @@
     if (m_ticket)
         m_actions.cancelAttempt();
     closeAttempt(SendOutcome::Cancelled, now);
-    if (m_stage == Stage::Waiting)
-        m_context.serviceQueues.remove(m_target.service(), m_waitingTicket);
+    leaveQueue();
     report(event(FlowStep::CallerLeft), now);
     end();
 }
@@ -527,8 +457,7 @@
 void RequestFlow::respondLocally(
     FlowStep step, int status, std::optional<Duration> retryAfter, std::string_view reason, TimePoint now)
 {
-    if (m_stage == Stage::Waiting)
-        m_context.serviceQueues.remove(m_target.service(), m_waitingTicket);
+    leaveQueue();
     FlowEvent it = event(step, reason);
     it.status = status;
     it.retryAfter = retryAfter;
@@ -537,6 +466,14 @@
     end();
 }
 
+void RequestFlow::leaveQueue()
+{
+    if (m_stage == Stage::Waiting)
+        m_context.serviceQueues.remove(m_target.service(), m_waitingTicket);
+    if (m_stage == Stage::AwaitingCatalog)
+        m_context.startupQueue.remove(m_waitingTicket);
+}
+
 void RequestFlow::end()
 {
     m_permit.end();
--- a/src/entry/tests/flowfixture.h
+++ b/src/entry/tests/flowfixture.h
@@ -55,6 +55,7 @@
 
 class FakeHost final : public IHostView {
 public:
+    bool isCatalogLoaded() const override { return catalogLoaded; }
     bool mayAcceptKeys(TimePoint) const override { return keysAccepted; }
     bool isCatalogCurrent(TimePoint) const override { return catalogCurrent; }
     Duration configurationAge(TimePoint) const override { return Duration(0); }
@@ -62,6 +63,7 @@
     bool acceptsRequests(catalog::RouteKind, TimePoint) const override { return acceptingRequests; }
 
     int hosts = 1;
+    bool catalogLoaded = true;
     bool keysAccepted = true;
     bool catalogCurrent = true;
     bool acceptingRequests = true;
@@ -181,6 +183,7 @@
     rollout::RolloutController rollouts;
     dispatch::RetryBudgets retries { { .ratio = 1, .slack = 100, .maxAttempts = 100 } };
     admission::ServiceQueues serviceQueues;
+    admission::StartupQueue startupQueue { {}, START };
     balancing::UpstreamReach reach;
     FakeHost host;
     StepRecorder steps;
@@ -190,6 +193,7 @@
         .rollouts = rollouts,
         .retries = retries,
         .serviceQueues = serviceQueues,
+        .startupQueue = startupQueue,
         .limits = limits,
         .limitLink = limitLink,
         .poisonGuard = poisonGuard,
--- a/tests/entry/entryhost_test.cpp
+++ b/tests/entry/entryhost_test.cpp
@@ -34,6 +34,23 @@
     cr_assert(it.received.empty());
 }
 
+// Guards against a host that refuses everybody in the moments between its start and its first configuration.
+Test(entry_host, requestsBeforeTheFirstConfigurationAreServedOnceItIsThere)
+{
+    Deployment it(1);
+    http::test::RawPeer keyed(it.loop, it.hosts[0].settings.frontend);
+    http::test::RawPeer order(it.loop, it.hosts[0].settings.frontend);
+    keyed.send("GET /keyed/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a-1\r\nConnection: close\r\n" + KEY_HEADER + "\r\n");
+    order.send("GET /order/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a-2\r\nConnection: close\r\n\r\n");
+    it.loop.runPending();
+    cr_assert(keyed.received().empty() && order.received().empty());
+    it.configure(3);
+    keyed.awaitClose();
+    order.awaitClose();
+    cr_assert(hasStatus(keyed.received(), 200) && hasStatus(order.received(), 200));
+    cr_assert_eq(it.received.size(), 2);
+}
+
 Test(entry_host, unknownRoutesAndKeysAreRejected)
 {
     Deployment it(1);
