Long and short prompts on upstreams of their own; how long work takes at each upstream

Cause: a prefill of 0.2 to 2 s is over before any report of it reaches another host; one host of seventy learns the speed of an upstream from an answer every few seconds and forgets it in four. Both travel as an extension of the reports, which older builds skip. The balancer's scoring has a file of its own. Ruled out by trials: priorities at the engine (no change: slots are free), a fixed part of 0.4 (long prompts late).

--- a/apps/platformdaemon.cpp
+++ b/apps/platformdaemon.cpp
@@ -27,6 +27,7 @@
     std::string logLevel = "info";
     long metricsPort = 0;
     long startupWaitMs = entry::EntrySettings().startupWait.count();
+    std::string promptDivision = "configured";
     bool naivePolicy = false;
     bool flatExchange = false;
     bool checkSettings = false;
@@ -43,6 +44,11 @@
             "Time after the start in which requests wait for the configuration instead of being refused; 0 disables "
             "it.",
             setInteger(it.startupWaitMs, 0, 10'000) },
+        { "prompt-division", "MODE",
+            "Divide the upstreams of a service between long and short prompts: never, configured (where a route can "
+            "give "
+            "way to a more urgent one, or upstreams report their work times) or always.",
+            setText(it.promptDivision) },
         { "naive-policy", "", "Random upstream, always the largest model (baseline for measurements).",
             setFlag(it.naivePolicy) },
         { "flat-exchange", "", "Each host reports directly to all other hosts (baseline for measurements).",
@@ -51,11 +57,25 @@
     };
 }
 
+std::optional<balancing::PromptDivision> promptDivisionOf(const std::string& text)
+{
+    using balancing::PromptDivision;
+    if (text == "never")
+        return PromptDivision::Never;
+    if (text == "configured")
+        return PromptDivision::WhereConfigured;
+    return text == "always" ? std::optional(PromptDivision::Always) : std::nullopt;
+}
+
 // Merges the platform's settings with the daemon's options and validates them together.
 Result<entry::EntrySettings> combineSettings(const std::string& text, const DaemonOptions& options)
 {
     BOOST_LEAF_AUTO(it, platform::parseSettings(text));
     it.startupWait = Duration(options.startupWaitMs);
+    const auto division = promptDivisionOf(options.promptDivision);
+    if (!division)
+        return failure(ErrorCode::InvalidArgument, "--prompt-division: expected never, configured or always\n");
+    it.promptDivision = *division;
     it.naivePolicy = options.naivePolicy;
     it.flatExchange = options.flatExchange;
     if (options.metricsPort == 0)
--- a/include/fireflyhaven/balancing/balancer.h
+++ b/include/fireflyhaven/balancing/balancer.h
@@ -3,8 +3,12 @@
 #include "fireflyhaven/balancing/coldpacer.h"
 #include "fireflyhaven/balancing/latencymodel.h"
 #include "fireflyhaven/balancing/prefixcacheindex.h"
+#include "fireflyhaven/balancing/promptpartition.h"
+#include "fireflyhaven/balancing/types/loadreport.h"
+#include "fireflyhaven/balancing/types/promptdivision.h"
 #include "fireflyhaven/balancing/upstreamhealth.h"
 #include "fireflyhaven/balancing/upstreamnotices.h"
+#include "fireflyhaven/balancing/upstreamspeeds.h"
 #include "fireflyhaven/catalog/catalog.h"
 #include "fireflyhaven/fleet/peerload.h"
 #include "fireflyhaven/ratelimit/limittable.h"
@@ -30,6 +34,9 @@
     int maxOpenPermitRequests = 8;
     // Longest time that a request waits for a permit to become valid.
     Duration maxPermitWait { 500 };
+    PromptDivision promptDivision = PromptDivision::WhereConfigured;
+    // Extra cost of a long prompt at an upstream for short ones, as a multiple of its prefill time: it holds these up.
+    double displacementWeight = 1;
     // Picks at random among the eligible upstreams; the baseline for measurements.
     bool randomPolicy = false;
 };
@@ -46,10 +53,14 @@
     // The two parts of the expected time to first token: processing of this request, and waiting for those ahead of it.
     Duration processingTime {};
     Duration queueingTime {};
-    // Sum of both parts at an upstream of normal speed (slowness 1).
+    // Sum of both parts at an upstream that takes no more time than it reports.
     Duration baselineTime {};
+    // Work time that the upstream reports, as a multiple of the usual time, as known at the send.
+    double reportedWorkTime = 1;
     TimePoint sentAt {};
-    bool firstTokenSeen = false;
+    // When the first token arrived; no value if none has.
+    std::optional<TimePoint> firstTokenAt;
+    bool isLongPrompt = false;
 
     Duration expectedTimeToFirstToken() const { return processingTime + queueingTime; }
 };
@@ -101,6 +112,8 @@
     std::optional<LatencyEstimate> estimateLatency(
         const UpstreamRequirements& requirements, int hostCount, TimePoint now);
 
+    // A response of the ticket's upstream reports its load. To be called before `onFirstToken`.
+    void onLoadReport(const Ticket& ticket, const LoadReport& load, TimePoint now);
     void onFirstToken(Ticket& ticket, TimePoint now);
     void onEnded(const Ticket& ticket, SendOutcome outcome, TimePoint now);
     // The upstream announced that it drains: this host sends nothing more to its present incarnation.
@@ -113,8 +126,13 @@
     // The upstream's issuer has no permit to give before `until`.
     void onPermitRefused(const UpstreamId& upstream, TimePoint until);
     void onPeerAnswers(const std::vector<fleet::AnswerCounts>& answers, TimePoint now);
+    // Speeds of upstreams and demand for them, as another host or an aggregator reports them.
+    void onPeerReport(const fleet::HostReport& report, TimePoint now);
+    void onPeerSilent(const HostId& host) { m_partition.onPeerSilent(host); }
+    // Fills in the speeds of upstreams and the demand for them.
+    void fillReport(fleet::HostReport& report, TimePoint now);
     // Drops the load, health and prefixes of an upstream that is gone or has restarted.
-    void removeUpstream(const UpstreamId& upstream);
+    void removeUpstream(const UpstreamId& upstream, TimePoint now);
     void expire(TimePoint now);
 
     // In-flight requests and cumulative results of this host, by upstream. Both restart at 0 when the upstream is
@@ -129,6 +147,8 @@
     bool isUsable(const UpstreamId& upstream, TimePoint now) const;
     // Expected time until the upstream has prefilled the prompts sent by this host and, as last reported, by its peers.
     Duration pendingPrefill(const UpstreamId& upstream, TimePoint now) const;
+    const PromptPartition& promptPartition() const { return m_partition; }
+    const UpstreamSpeeds& speeds() const { return m_speeds; }
 
 private:
     struct PendingSend {
@@ -143,9 +163,6 @@
         std::vector<PendingSend> pendingSends;
         UpstreamHealth health;
         std::optional<ColdPacer> pacer;
-        // Ratio of observed to expected time to first token; 1 at normal speed.
-        double slowness = 1;
-        TimePoint slownessAt {};
         std::uint32_t successes = 0;
         std::uint32_t failures = 0;
         // When attempts ended without an answer that the other hosts are not told of yet, oldest first.
@@ -160,6 +177,9 @@
         Duration processingTime {};
         Duration queueingTime {};
         Duration baselineTime {};
+        // Work time that the upstream reports, and the ratio of the expected to the reported one.
+        double reportedWorkTime = 1;
+        double deviation = 1;
         std::uint32_t uncachedTokens = 0;
         double cost = 0;
     };
@@ -177,16 +197,22 @@
     void scoreCandidates(std::vector<Candidate>& candidates, const UpstreamRequirements& requirements, TimePoint now);
     void scorePrefixCaching(
         std::vector<Candidate>& candidates, const UpstreamRequirements& requirements, TimePoint now);
+    // Extra cost, in ms, where the upstream is for prompts of the other length.
+    double partitionCost(const Candidate& candidate, const UpstreamRequirements& requirements) const;
+    // Whether the configuration, or what the upstreams report, asks for a division of the service's upstreams.
+    bool isDivisionWanted(const ServiceName& service, TimePoint now) const;
+    void dividePrompts(TimePoint now);
     Duration queueingTimeOf(const catalog::UpstreamState& it, const LocalState& state,
         const UpstreamRequirements& requirements, TimePoint now);
     const Candidate* pickBest(
         std::vector<Candidate>& candidates, const UpstreamRequirements& requirements, TimePoint now);
     Ticket recordSend(
         const Candidate& candidate, const UpstreamRequirements& requirements, int hostCount, TimePoint now);
+    // Counts the time in which the request has generated tokens as work of the upstream.
+    void recordDecode(const Ticket& ticket, TimePoint now);
     // Counts the unanswered attempts that are not due to a cut of this host.
     void confirmFailures(TimePoint now);
     static Duration pendingTime(const LocalState& state, TimePoint now);
-    static double slownessOf(const LocalState& state, TimePoint now);
     double warmupRate(const catalog::UpstreamState& it) const;
     // Next number in [0, 1) of a pseudo-random sequence that the seed determines.
     double nextRandom();
@@ -202,6 +228,9 @@
     std::map<ServiceName, ServiceHealth> m_serviceHealth;
     UpstreamNotices m_notices;
     PrefixCacheIndex m_prefixCaches;
+    UpstreamSpeeds m_speeds;
+    PromptPartition m_partition;
+    TimePoint m_dividedAt {};
     std::uint64_t m_nextTicket = 1;
     std::uint64_t m_randomState = 1;
 };
--- a/include/fireflyhaven/catalog/catalog.h
+++ b/include/fireflyhaven/catalog/catalog.h
@@ -49,6 +49,12 @@
     const Service* service(const ServiceName& name) const;
     // Shortest target latency of all routes to the service; no value where no route leads to it.
     std::optional<Duration> minTargetLatency(const ServiceName& service) const;
+    // Whether a route to the service is less urgent than another one and has several times its target latency, so that
+    // its requests can give way.
+    bool hasDeferrableRoute(const ServiceName& service) const
+    {
+        return m_servicesWithDeferrableRoutes.contains(service);
+    }
     // No value where the key belongs to no workspace.
     std::optional<Caller> callerOf(std::string_view key) const;
     bool requiresApiKeys() const { return !m_configuration.workspaces.empty(); }
@@ -77,11 +83,15 @@
     const UpstreamState* upstream(const UpstreamId& id) const;
 
 private:
+    // Derives from the routes what is known of each service.
+    void indexRoutes();
+
     Configuration m_configuration;
     bool m_configured = false;
     RouteTable m_routes;
     absl::flat_hash_map<std::string, Caller> m_callers;
     std::map<ServiceName, Duration> m_minTargetLatencies;
+    std::set<ServiceName> m_servicesWithDeferrableRoutes;
     std::map<ServiceName, RolloutState> m_rollouts;
     std::set<DataCentreId> m_evacuated;
     std::map<UpstreamId, UpstreamState> m_upstreams;
--- a/include/fireflyhaven/entry/types/settings.h
+++ b/include/fireflyhaven/entry/types/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fireflyhaven/balancing/types/promptdivision.h"
 #include "fireflyhaven/common/clock.h"
 #include "fireflyhaven/common/types/ids.h"
 #include "fireflyhaven/http/types/endpoint.h"
@@ -93,6 +94,8 @@
     bool bootstrap = false;
     // Full-mesh report exchange without aggregators, regardless of the number of hosts; a baseline for measurements.
     bool flatExchange = false;
+    // Whether the upstreams of a service are divided between long and short prompts.
+    balancing::PromptDivision promptDivision = balancing::PromptDivision::WhereConfigured;
     // Random choice among the ready upstreams, and always the largest model; a baseline for measurements.
     bool naivePolicy = false;
 };
--- a/include/fireflyhaven/fleet/exchange.h
+++ b/include/fireflyhaven/fleet/exchange.h
@@ -150,6 +150,8 @@
     std::map<HostId, TimePoint> m_rostersSentAt;
     // Aggregators of this data centre as of the last tick, in order of rank; empty in the flat topology.
     std::vector<HostId> m_aggregators;
+    // Lasting work times of upstreams in this host's newest report; digests pass them on.
+    ShortList<UpstreamSpeed> m_ownSpeeds;
     // Ranked hosts of this data centre when the last digests were sent, and the tick in which they last changed.
     std::vector<HostId> m_lastRanking;
     std::uint32_t m_rankingChangedTick = 0;
--- a/include/fireflyhaven/fleet/reportaggregate.h
+++ b/include/fireflyhaven/fleet/reportaggregate.h
@@ -41,6 +41,7 @@
         std::vector<RouteTimes> baselineTimes;
         std::vector<RolloutView> rollouts;
         std::vector<ActiveSession> sessions;
+        std::vector<PromptDemand> demands;
         TimePoint lastReportAt {};
         TimePoint lastBusyAt {};
         // A silent source contributes only its answer counts.
@@ -61,6 +62,7 @@
     void fillUpstreams(FleetDigest& digest, const Source* excluded, TimePoint now) const;
     void fillTrials(FleetDigest& digest, const HostId& excluded) const;
     void fillViews(FleetDigest& digest, const HostId& excluded, TimePoint now) const;
+    void fillDemands(FleetDigest& digest, const HostId& excluded) const;
 
     std::map<HostId, Source> m_sources;
     absl::flat_hash_map<ShortHash, UpstreamSum> m_sums;
--- a/include/fireflyhaven/fleet/types/fleetdigest.h
+++ b/include/fireflyhaven/fleet/types/fleetdigest.h
@@ -67,6 +67,10 @@
     ShortList<RouteTimes> baselineTimes;
     ShortList<RolloutView> rollouts;
     ShortList<ActiveSession> sessions;
+    // Not in the messages of older builds, which end before these. Some upstreams, in turn.
+    ShortList<UpstreamSpeed> speeds;
+    // Sums over the scope.
+    ShortList<PromptDemand> demands;
 
     template <typename Archive> void serialize(Archive& archive)
     {
--- a/include/fireflyhaven/fleet/types/hostreport.h
+++ b/include/fireflyhaven/fleet/types/hostreport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fireflyhaven/common/clock.h"
 #include "fireflyhaven/common/types/ids.h"
 #include "fireflyhaven/http/types/endpoint.h"
 #include "fireflyhaven/quality/latencyratios.h"
@@ -101,6 +102,33 @@
     template <typename Archive> void serialize(Archive& archive) { archive(session, ageMs, onNewVersion); }
 };
 
+// Lasting work time of an upstream, as a host has measured it or learnt it from another one.
+struct UpstreamSpeed {
+    ShortHash upstream = 0;
+    // In percent of the usual work time of its service.
+    std::uint16_t workTimePercent = 0;
+    // Time since the measurement, in tenths of a second.
+    std::uint16_t ageDeciseconds = 0;
+
+    static UpstreamSpeed of(ShortHash upstream, double workTimeFactor, Duration age);
+    double workTimeFactor() const;
+    Duration age() const;
+
+    friend bool operator==(const UpstreamSpeed&, const UpstreamSpeed&) = default;
+    template <typename Archive> void serialize(Archive& archive) { archive(upstream, workTimePercent, ageDeciseconds); }
+};
+
+// Work that the requests of one or more hosts bring to the upstreams of a service: milliseconds of one upstream of
+// usual speed, for each second.
+struct PromptDemand {
+    ShortHash service = 0;
+    std::uint32_t longPrompts = 0;
+    std::uint32_t shortPrompts = 0;
+
+    friend bool operator==(const PromptDemand&, const PromptDemand&) = default;
+    template <typename Archive> void serialize(Archive& archive) { archive(service, longPrompts, shortPrompts); }
+};
+
 // Load and liveness report of a host, sent several times per second.
 struct HostReport {
     HostId host;
@@ -125,6 +153,10 @@
     ShortList<ActiveSession> sessions;
     // Peer addresses of some other live hosts; rotated between reports so that every host learns of all others.
     ShortList<http::Endpoint> gossipAddresses;
+    // Not in the messages of older builds, which end before these. Some upstreams, in turn.
+    ShortList<UpstreamSpeed> speeds;
+    // Services whose upstreams are divided by the length of prompts.
+    ShortList<PromptDemand> demands;
 
     template <typename Archive> void serialize(Archive& archive)
     {
--- a/src/balancing/internal/balancer.cpp
+++ b/src/balancing/internal/balancer.cpp
@@ -8,28 +8,11 @@
 
 namespace {
 
-// Prior latency model, until samples replace it.
-constexpr double INITIAL_INTERCEPT_MS = 30;
-constexpr double INITIAL_MS_PER_TOKEN = 0.03;
-// Lets the number of in-flight requests decide between candidates with similar expected times.
-constexpr double COST_PER_REQUEST_MS = 1;
-// Random cost, so that hosts with the same view of the loads do not all choose the same upstream.
-constexpr double MAX_JITTER_MS = 2;
-constexpr double MAX_SLOWNESS = 16;
-constexpr double MIN_SLOWNESS = 0.5;
-// Weight of the newest sample in the moving average of slowness.
-constexpr double SLOWNESS_WEIGHT = 0.3;
-constexpr Duration SLOWNESS_HALF_LIFE { 4000 };
-// Added to both times of a slowness ratio, since ratios of times below it are noise.
-constexpr double SLOWNESS_FLOOR_MS = 30;
-
 // Time in which a host finds out whether it is cut off, before it tells the others of unanswered attempts.
 constexpr Duration FAILURE_CONFIRMATION_TIME { 1500 };
 
 double milliseconds(Duration it) { return static_cast<double>(it.count()); }
 
-Duration duration(double ms) { return Duration(static_cast<Duration::rep>(std::max(0.0, ms))); }
-
 }
 
 Balancer::Balancer(const catalog::Catalog& catalog, const fleet::PeerLoad& peers, const ratelimit::LimitTable& limits,
@@ -114,104 +97,6 @@
     return healthy.empty() ? ejected : healthy;
 }
 
-Duration Balancer::pendingTime(const LocalState& state, TimePoint now)
-{
-    Duration sum {};
-    Duration overdue {};
-    for (const PendingSend& it : state.pendingSends) {
-        sum += it.processingTime;
-        overdue = std::max(overdue, now - it.expectedBy);
-    }
-    // An overdue request shows that the upstream is slower than expected; it may be hanging.
-    return std::max(sum, overdue);
-}
-
-Duration Balancer::queueingTimeOf(
-    const catalog::UpstreamState& it, const LocalState& state, const UpstreamRequirements& requirements, TimePoint now)
-{
-    const fleet::PeerLoadSum peers = m_peers.at(fleet::shortHashOf(it.upstream.id));
-    if (!requirements.model.empty())
-        return pendingTime(state, now) + Duration(peers.pendingPrefillMs);
-    const int totalInFlight = state.inFlight + static_cast<int>(peers.inFlight);
-    const int slots = std::max(1, it.upstream.slots);
-    const double rounds = std::max(0, totalInFlight - slots + 1) / static_cast<double>(slots);
-    const Duration queue = duration(rounds * latencyModel(requirements.service, requirements.model).predict(0));
-    Duration overdue {};
-    for (const PendingSend& pending : state.pendingSends)
-        overdue = std::max(overdue, now - pending.expectedBy);
-    return std::max(queue, overdue);
-}
-
-double Balancer::slownessOf(const LocalState& state, TimePoint now)
-{
-    const double age = milliseconds(now - state.slownessAt) / milliseconds(SLOWNESS_HALF_LIFE);
-    return 1 + (state.slowness - 1) * std::exp2(-std::max(0.0, age));
-}
-
-void Balancer::scoreCandidates(
-    std::vector<Candidate>& candidates, const UpstreamRequirements& requirements, TimePoint now)
-{
-    const LatencyModel& model = latencyModel(requirements.service, requirements.model);
-    for (Candidate& it : candidates) {
-        it.uncachedTokens = requirements.promptTokens;
-        it.queueingTime = queueingTimeOf(*it.upstream, *it.state, requirements, now);
-        const bool remote = it.upstream->upstream.dataCentre != m_options.ownDataCentre;
-        const int totalInFlight
-            = it.state->inFlight + static_cast<int>(m_peers.at(fleet::shortHashOf(it.upstream->upstream.id)).inFlight);
-        it.cost = COST_PER_REQUEST_MS * totalInFlight + (remote ? milliseconds(m_options.remotePenalty) : 0)
-            + MAX_JITTER_MS * nextRandom();
-    }
-    scorePrefixCaching(candidates, requirements, now);
-    for (Candidate& it : candidates) {
-        const double slowness = slownessOf(*it.state, now);
-        // The queueing time at a model engine already includes the engine's slowness.
-        const double baselineQueueingMs
-            = milliseconds(it.queueingTime) / (requirements.model.empty() ? 1 : std::max(1.0, slowness));
-        it.baselineTime = duration(model.predict(it.uncachedTokens) + baselineQueueingMs);
-        it.processingTime = duration(slowness * model.predict(it.uncachedTokens));
-        it.cost += milliseconds(it.processingTime) + slowness * milliseconds(it.queueingTime);
-    }
-}
-
-void Balancer::scorePrefixCaching(
-    std::vector<Candidate>& candidates, const UpstreamRequirements& requirements, TimePoint now)
-{
-    const std::vector<SharedPrefix> prefixes = sharedPrefixes(requirements.model, requirements.promptParts);
-    if (prefixes.empty())
-        return;
-    const SharedPrefix& longest = prefixes.back();
-    const auto affinity = [&](const Candidate& it) {
-        return combineHashes(stableHash(it.upstream->upstream.id.value()), longest.hash);
-    };
-    const auto home = std::max_element(candidates.begin(), candidates.end(),
-        [&](const Candidate& a, const Candidate& b) { return affinity(a) < affinity(b); });
-    const bool heldAnywhere = m_prefixCaches.isHeldAnywhere(longest.hash, now);
-    const double slope = latencyModel(requirements.service, requirements.model).slope();
-    for (Candidate& it : candidates) {
-        std::uint32_t cached = 0;
-        for (const SharedPrefix& prefix : prefixes) {
-            if (m_prefixCaches.holds(prefix.hash, it.upstream->upstream.id, now))
-                cached = std::max(cached, prefix.tokens);
-        }
-        if (!heldAnywhere && &it == &*home)
-            cached = std::max(cached, static_cast<std::uint32_t>(m_options.homeCachedFraction * longest.tokens));
-        it.uncachedTokens = requirements.promptTokens - std::min(requirements.promptTokens, cached);
-        it.cost += m_options.cacheMissWeight * slope * (longest.tokens - std::min(cached, longest.tokens));
-    }
-}
-
-const Balancer::Candidate* Balancer::pickBest(
-    std::vector<Candidate>& candidates, const UpstreamRequirements& requirements, TimePoint now)
-{
-    if (candidates.empty())
-        return nullptr;
-    if (m_options.randomPolicy)
-        return &candidates[static_cast<std::size_t>(nextRandom() * static_cast<double>(candidates.size()))];
-    scoreCandidates(candidates, requirements, now);
-    return &*std::min_element(
-        candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
-}
-
 std::vector<Balancer::Candidate> Balancer::candidatesWithPermits(
     const UpstreamRequirements& requirements, int hostCount, TimePoint until, TimePoint now)
 {
@@ -313,7 +198,9 @@
         .processingTime = candidate.processingTime,
         .queueingTime = candidate.queueingTime,
         .baselineTime = candidate.baselineTime,
-        .sentAt = now };
+        .reportedWorkTime = candidate.reportedWorkTime,
+        .sentAt = now,
+        .isLongPrompt = m_partition.isLong(requirements.promptTokens) };
     ++state.inFlight;
     state.health.onSent();
     state.pendingSends.push_back({ .number = ticket.number,
@@ -323,33 +210,14 @@
         state.pacer->onSent(warmupRate(*candidate.upstream), hostCount, now);
     for (const SharedPrefix& it : sharedPrefixes(requirements.model, requirements.promptParts))
         m_prefixCaches.onPrefill(it.hash, id, now);
+    if (!requirements.model.empty()) {
+        const double usualMs
+            = milliseconds(candidate.processingTime) / (candidate.reportedWorkTime * candidate.deviation);
+        m_partition.onWork(requirements.service, ticket.isLongPrompt, usualMs, true, now);
+    }
     return ticket;
 }
 
-void Balancer::onFirstToken(Ticket& ticket, TimePoint now)
-{
-    if (ticket.firstTokenSeen)
-        return;
-    ticket.firstTokenSeen = true;
-    const auto it = m_localStates.find(ticket.upstream);
-    if (it == m_localStates.end())
-        return;
-    LocalState& state = it->second;
-    std::erase_if(state.pendingSends, [&](const PendingSend& p) { return p.number == ticket.number; });
-    const double observed = milliseconds(now - ticket.sentAt);
-    const double expected = milliseconds(ticket.expectedTimeToFirstToken());
-    const double ratio = (observed + SLOWNESS_FLOOR_MS) / (expected + SLOWNESS_FLOOR_MS);
-    const double slowness = slownessOf(state, now);
-    state.slowness = slowness + SLOWNESS_WEIGHT * (std::clamp(ratio * slowness, MIN_SLOWNESS, MAX_SLOWNESS) - slowness);
-    state.slownessAt = now;
-    // Samples from a slow upstream describe that upstream, not the service, and would distort the service's model.
-    constexpr double MAX_SLOWNESS_FOR_SAMPLES = 2;
-    if (state.slowness > MAX_SLOWNESS_FOR_SAMPLES)
-        return;
-    const double processingMs = std::max(0.0, observed - milliseconds(ticket.queueingTime));
-    latencyModel(ticket.service, ticket.model).add(ticket.uncachedTokens, processingMs);
-}
-
 void Balancer::onEnded(const Ticket& ticket, SendOutcome outcome, TimePoint now)
 {
     const auto it = m_localStates.find(ticket.upstream);
@@ -364,6 +232,7 @@
         state.health.onUnreachable(now);
     if (outcome == SendOutcome::Cancelled)
         return;
+    recordDecode(ticket, now);
     const bool succeeded = outcome == SendOutcome::Succeeded;
     if (outcome == SendOutcome::Unanswered || outcome == SendOutcome::Unreachable)
         state.unconfirmedFailures.push_back(now);
@@ -422,10 +291,11 @@
     }
 }
 
-void Balancer::removeUpstream(const UpstreamId& upstream)
+void Balancer::removeUpstream(const UpstreamId& upstream, TimePoint now)
 {
     m_localStates.erase(upstream);
     m_prefixCaches.removeUpstream(upstream);
+    m_speeds.removeUpstream(upstream, now);
 }
 
 void Balancer::expire(TimePoint now)
@@ -433,6 +303,7 @@
     confirmFailures(now);
     m_prefixCaches.expire(now);
     m_notices.expire(now);
+    dividePrompts(now);
 }
 
 std::vector<fleet::UpstreamCounters> Balancer::counters(TimePoint now) const
@@ -475,11 +346,4 @@
 
 Balancer::LocalState& Balancer::localState(const UpstreamId& upstream) { return m_localStates[upstream]; }
 
-LatencyModel& Balancer::latencyModel(const ServiceName& service, const catalog::ModelName& model)
-{
-    const auto it = m_latencyModels.try_emplace(
-        { service, model }, INITIAL_INTERCEPT_MS, model.empty() ? 0 : INITIAL_MS_PER_TOKEN);
-    return it.first->second;
-}
-
 }
--- a/src/catalog/internal/catalog.cpp
+++ b/src/catalog/internal/catalog.cpp
@@ -6,6 +6,11 @@
 
 namespace fireflyhaven::catalog {
 
+namespace {
+// A route whose target latency is this many times the shortest one of its service can give way to others.
+constexpr int DEFERRABLE_TARGET_FACTOR = 4;
+}
+
 ConfigurationChange Catalog::onConfiguration(Configuration configuration)
 {
     if (m_configured && configuration.version == m_configuration.version)
@@ -15,13 +20,7 @@
     m_configuration = std::move(configuration);
     m_configured = true;
     m_routes = RouteTable(m_configuration.routes);
-    m_minTargetLatencies.clear();
-    for (const Route& route : m_configuration.routes) {
-        for (const WeightedService& it : route.services) {
-            const auto [target, added] = m_minTargetLatencies.try_emplace(it.service, route.targetLatency);
-            target->second = std::min(target->second, route.targetLatency);
-        }
-    }
+    indexRoutes();
     m_callers.clear();
     for (const Workspace& workspace : m_configuration.workspaces) {
         for (const std::string& key : workspace.keys)
@@ -30,6 +29,29 @@
     return ConfigurationChange::Applied;
 }
 
+void Catalog::indexRoutes()
+{
+    m_minTargetLatencies.clear();
+    m_servicesWithDeferrableRoutes.clear();
+    // Numbers of the most urgent priority.
+    std::map<ServiceName, int> topPriorities;
+    for (const Route& route : m_configuration.routes) {
+        for (const WeightedService& it : route.services) {
+            Duration& target = m_minTargetLatencies.try_emplace(it.service, route.targetLatency).first->second;
+            target = std::min(target, route.targetLatency);
+            int& priority = topPriorities.try_emplace(it.service, route.priority).first->second;
+            priority = std::min(priority, route.priority);
+        }
+    }
+    for (const Route& route : m_configuration.routes) {
+        for (const WeightedService& it : route.services) {
+            const bool hasTime = route.targetLatency >= DEFERRABLE_TARGET_FACTOR * m_minTargetLatencies.at(it.service);
+            if (route.kind == RouteKind::Streaming && hasTime && route.priority > topPriorities.at(it.service))
+                m_servicesWithDeferrableRoutes.insert(it.service);
+        }
+    }
+}
+
 const Service* Catalog::service(const ServiceName& name) const
 {
     const auto& services = m_configuration.services;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -71,6 +71,7 @@
         , m_balancer(m_catalog, m_peerLoad, m_limits,
               { .ownDataCentre = m_settings.dataCentre,
                   .seed = stableHash(m_settings.host.value()),
+                  .promptDivision = m_settings.promptDivision,
                   .randomPolicy = m_settings.naivePolicy })
         , m_escalationPolicy({ .alwaysLargest = m_settings.naivePolicy })
         , m_rollouts(rolloutOptions(m_settings.bounds))
@@ -287,7 +288,7 @@
     void onUpstreamChanged(const catalog::Upstream& upstream, bool newIncarnation) override
     {
         if (newIncarnation)
-            m_balancer.removeUpstream(upstream.id);
+            m_balancer.removeUpstream(upstream.id, m_clock.now());
         m_rollouts.onVersionSeen(upstream.service, upstream.version, m_clock.now());
         const bool draining = upstream.phase == catalog::UpstreamPhase::Draining;
         if (draining)
@@ -301,7 +302,7 @@
     {
         telemetry::logEvent(
             spdlog::level::info, "upstream_gone", { { "upstream", id.value() }, { "reason", "registration ended" } });
-        m_balancer.removeUpstream(id);
+        m_balancer.removeUpstream(id, m_clock.now());
     }
 
     void fillReport(fleet::HostReport& report, bool full, TimePoint now) override
@@ -315,6 +316,7 @@
             last = it;
         }
         m_rollouts.fillReport(report, now);
+        m_balancer.fillReport(report, now);
     }
     void onReport(
         const fleet::HostReport& before, const fleet::HostReport& report, bool newIncarnation, TimePoint now) override
@@ -322,9 +324,14 @@
         const std::vector<fleet::AnswerCounts> answers = m_peerLoad.onReport(report, newIncarnation);
         m_statusWriter.onPeerAnswers(answers);
         m_balancer.onPeerAnswers(answers, now);
+        m_balancer.onPeerReport(report, now);
         m_rollouts.onReport(before, report, now);
     }
-    void onHostSilent(const HostId& host) override { m_peerLoad.onSilent(host); }
+    void onHostSilent(const HostId& host) override
+    {
+        m_peerLoad.onSilent(host);
+        m_balancer.onPeerSilent(host);
+    }
 
 private:
     Result<std::unique_ptr<http::EventServer>> startServer(
--- a/src/entry/internal/requestflowanswers.cpp
+++ b/src/entry/internal/requestflowanswers.cpp
@@ -92,7 +92,10 @@
         notice.limit = m_responseInfo.requestLimit;
         report(notice, now);
     }
-    if (m_responseInfo.load && m_responseInfo.load->hasUnreadableFigure)
+    if (!m_responseInfo.load || m_responseInfo.status == STATUS_MISDIRECTED)
+        return;
+    m_context.balancer.onLoadReport(*m_ticket, *m_responseInfo.load, now);
+    if (m_responseInfo.load->hasUnreadableFigure)
         report(event(FlowStep::LoadUnreadable), now);
 }
 
--- a/src/entry/internal/statuspages.cpp
+++ b/src/entry/internal/statuspages.cpp
@@ -49,6 +49,12 @@
     metrics.set("requests_waiting", static_cast<double>(m_context.serviceQueues.size()));
     metrics.set("upstreams", static_cast<double>(m_context.catalog.upstreams().size()));
     metrics.set("upstreams_avoided", avoided);
+    for (const balancing::PromptDivisionView& it : m_context.balancer.promptPartition().divided()) {
+        const telemetry::Labels service { { "service", it.service.value() } };
+        metrics.set("long_prompt_capacity_share", it.longShare, service);
+        metrics.set("wait_among_long_prompts_seconds",
+            static_cast<double>(it.waitAmongLongPrompts.count()) * SECONDS_PER_MILLISECOND, service);
+    }
     metrics.set("upstreams_limited", static_cast<double>(m_context.limits.limitedUpstreams()));
     metrics.set("prompt_parts_refused", static_cast<double>(m_context.poisonGuard.verdicts().size()));
     metrics.set("upstream_crashes_known", static_cast<double>(m_context.poisonGuard.knownCrashes()));
@@ -98,6 +104,12 @@
             row["stage"] = rollout::stageName(*stage);
         rollouts.push_back(row);
     }
+    auto& divided = document["divided_services"] = nlohmann::ordered_json::array();
+    for (const balancing::PromptDivisionView& it : m_context.balancer.promptPartition().divided()) {
+        divided.push_back({ { "service", it.service.value() }, { "long_prompt_capacity_share", it.longShare },
+            { "upstreams_for_long_prompts", it.upstreamsForLongPrompts },
+            { "wait_among_long_prompts_ms", it.waitAmongLongPrompts.count() } });
+    }
     return document;
 }
 
@@ -135,6 +147,10 @@
             { "usable", m_context.balancer.isUsable(id, now) }, { "in_flight", m_context.balancer.inFlight(id) } });
         if (const auto limit = limitOf(it))
             upstreams.back()["limit_per_second"] = limit->perSecond();
+        if (m_context.balancer.speeds().isKnown(id, now))
+            upstreams.back()["work_time_factor"] = m_context.balancer.speeds().factor(id, now);
+        if (m_context.balancer.promptPartition().isForLongPrompts(it.upstream.service, id))
+            upstreams.back()["for_long_prompts"] = true;
     }
     return document;
 }
--- a/src/fleet/internal/exchange.cpp
+++ b/src/fleet/internal/exchange.cpp
@@ -186,7 +186,9 @@
         .trials = digest.trials,
         .baselineTimes = digest.baselineTimes,
         .rollouts = digest.rollouts,
-        .sessions = digest.sessions };
+        .sessions = digest.sessions,
+        .speeds = digest.speeds,
+        .demands = digest.demands };
     // Upstreams that are no longer listed have no requests in flight.
     for (const UpstreamCounters& it : known.report.upstreams.items) {
         const auto isSame = [&](const UpstreamCounters& listed) { return listed.upstream == it.upstream; };
@@ -348,6 +350,7 @@
         return out;
     for (const http::Endpoint& it : m_hosts.probeTargets(MAX_PROBES, now))
         out.push_back({ .to = it, .bytes = bytes });
+    m_ownSpeeds = own.speeds;
     sendToDataCentres(out, now);
     sendToHosts(out, now);
     return out;
@@ -434,6 +437,7 @@
 {
     FleetDigest sums = makeDigest(DigestScope::DataCentre);
     m_localAggregate.fill(sums, HostId(), now);
+    sums.speeds = m_ownSpeeds;
     Roster roster = rosterOf(m_options.dataCentre, m_options.partialRosterSize, now);
     roster.replacesEarlier = true;
     sums.rosters.items.push_back(std::move(roster));
@@ -476,6 +480,7 @@
     FleetDigest it = makeDigest(busy ? DigestScope::Fleet : DigestScope::Presence);
     if (busy) {
         m_fleetAggregate.fill(it, host.report.host, now);
+        it.speeds = m_ownSpeeds;
         keepRecentSessions(it);
     }
     if (withRosters)
--- a/src/fleet/internal/hostreport.cpp
+++ b/src/fleet/internal/hostreport.cpp
@@ -2,17 +2,44 @@
 
 #include "datagram.h"
 
+#include <algorithm>
+
 namespace fireflyhaven::fleet {
 
 namespace {
 constexpr std::uint16_t LAYOUT = 0xF102;
+constexpr double PERCENT = 100;
+constexpr Duration::rep MS_PER_DECISECOND = 100;
+}
+
+UpstreamSpeed UpstreamSpeed::of(ShortHash upstream, double workTimeFactor, Duration age)
+{
+    const Duration::rep deciseconds = std::clamp<Duration::rep>(age.count() / MS_PER_DECISECOND, 0, UINT16_MAX);
+    return { .upstream = upstream,
+        .workTimePercent = static_cast<std::uint16_t>(std::clamp<double>(workTimeFactor * PERCENT, 1, UINT16_MAX)),
+        .ageDeciseconds = static_cast<std::uint16_t>(deciseconds) };
 }
 
-std::string encodeReport(const HostReport& report) { return encodeDatagram(LAYOUT, report); }
+double UpstreamSpeed::workTimeFactor() const { return workTimePercent / PERCENT; }
+
+Duration UpstreamSpeed::age() const { return Duration(ageDeciseconds * MS_PER_DECISECOND); }
+
+std::string encodeReport(const HostReport& report)
+{
+    return encodeDatagram(
+        LAYOUT, report, ShortList<UpstreamSpeed>(report.speeds), ShortList<PromptDemand>(report.demands));
+}
 
 std::optional<HostReport> decodeReport(const std::string& datagram)
 {
-    return decodeDatagram<HostReport>(LAYOUT, datagram);
+    ShortList<UpstreamSpeed> speeds;
+    ShortList<PromptDemand> demands;
+    auto report = decodeDatagram<HostReport>(LAYOUT, datagram, speeds, demands);
+    if (report) {
+        report->speeds = std::move(speeds);
+        report->demands = std::move(demands);
+    }
+    return report;
 }
 
 }
--- a/src/fleet/internal/reportaggregate.cpp
+++ b/src/fleet/internal/reportaggregate.cpp
@@ -51,6 +51,7 @@
     it.baselineTimes = report.baselineTimes.items;
     it.rollouts = report.rollouts.items;
     it.sessions = report.sessions.items;
+    it.demands = report.demands.items;
     it.lastReportAt = now;
     it.silent = false;
     if (!report.upstreams.items.empty())
@@ -71,6 +72,7 @@
     it->second.baselineTimes.clear();
     it->second.rollouts.clear();
     it->second.sessions.clear();
+    it->second.demands.clear();
     it->second.silent = true;
 }
 
@@ -108,6 +110,7 @@
     fillUpstreams(digest, it == m_sources.end() ? nullptr : &it->second, now);
     fillTrials(digest, excluded);
     fillViews(digest, excluded, now);
+    fillDemands(digest, excluded);
 }
 
 void ReportAggregate::fillUpstreams(FleetDigest& digest, const Source* excluded, TimePoint now) const
@@ -183,6 +186,23 @@
         digest.rollouts.items.push_back(view);
 }
 
+void ReportAggregate::fillDemands(FleetDigest& digest, const HostId& excluded) const
+{
+    std::map<ShortHash, PromptDemand> sums;
+    for (const auto& [id, source] : m_sources) {
+        if (id == excluded)
+            continue;
+        for (const PromptDemand& it : source.demands) {
+            PromptDemand& sum = sums[it.service];
+            sum.service = it.service;
+            sum.longPrompts += it.longPrompts;
+            sum.shortPrompts += it.shortPrompts;
+        }
+    }
+    for (const auto& [service, sum] : sums)
+        digest.demands.items.push_back(sum);
+}
+
 bool ReportAggregate::isBusy(const HostId& source, Duration within, TimePoint now) const
 {
     const auto it = m_sources.find(source);
