Logs that tell why a configuration is late: bytes that had arrived, transfer, decoding, who reaches the store

Cause of this change: relay_lost and store_lost said "no answer in time" alike for an answer that was arriving, for one that never began and for one that a late event loop had not read yet; nothing said when a host hears who reaches the store. Change: relay_lost and store_lost name the time waited, the time-out and the bytes that had arrived (a wait beyond the time-out is the delay of the event loop); configuration_applied names the bytes, the time from the first to the last of them and the time to decode and apply; store_readers is logged when the set of first hosts that reach the store changes. A read of the store or of a host reports its progress, which the time-outs do not use yet.

--- a/include/fireflyhaven/store/recordstore.h
+++ b/include/fireflyhaven/store/recordstore.h
@@ -23,6 +23,8 @@
 };
 
 template <typename T> using OnOutcome = std::function<void(Outcome<T>)>;
+// Called with each part of an answer that arrives; takes the number of bytes of the answer's body so far.
+using OnProgress = std::function<void(std::size_t)>;
 
 // Fencing token that makes writes to one topic exclusive: the store rejects a write whose epoch is lower than the
 // highest one that it has received.
@@ -33,13 +35,17 @@
 };
 
 // Interface to the platform's store. Callbacks are invoked from the event loop, never from within the call itself.
+// `progress` may be null.
 class IRecordStore {
 public:
     virtual ~IRecordStore() = default;
     // Reads the records from the offset on; waits up to `wait` where there are none yet.
-    virtual void read(Topic topic, std::uint64_t offset, Duration wait, OnOutcome<RecordBatch> done) = 0;
+    virtual void read(
+        Topic topic, std::uint64_t offset, Duration wait, OnProgress progress, OnOutcome<RecordBatch> done)
+        = 0;
     // Reads one page of the newest records of all keys, in the order of the keys, beginning after the key `after`.
-    virtual void readNewest(Topic topic, const std::string& after, OnOutcome<SnapshotPage> done) = 0;
+    virtual void readNewest(Topic topic, const std::string& after, OnProgress progress, OnOutcome<SnapshotPage> done)
+        = 0;
     // Writes one record; a record without a value deletes its key. The outcome holds the offset of the record.
     virtual void put(
         Topic topic, const KeyedRecord& record, const std::optional<Fence>& fence, OnOutcome<std::uint64_t> done)
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -149,7 +149,12 @@
         onReadFailed(feed, read, store::StoreError::Unknown, "no answer in time");
         advance(feed);
     });
+    feed.receivedBytes = 0;
     const store::FeedRequest& request = read.request;
+    const auto progress = [this, alive = m_alive, &feed, number](std::size_t bytes) {
+        if (*alive)
+            onProgress(feed, number, bytes);
+    };
     const auto onPage = forRead<store::SnapshotPage>(feed, read, [this, &feed, read](const store::SnapshotPage& page) {
         if (auto update = feed.reader.onPage(read, page, m_context.clock.now()))
             applyUpdate(feed, std::move(*update));
@@ -159,19 +164,31 @@
     });
     const bool snapshot = request.kind == store::FeedRequest::Kind::ReadNewest;
     if (!read.source) {
-        snapshot ? m_context.store.readNewest(feed.topic, request.after, onPage)
-                 : m_context.store.read(feed.topic, request.offset, request.wait, onBatch);
+        snapshot ? m_context.store.readNewest(feed.topic, request.after, progress, onPage)
+                 : m_context.store.read(feed.topic, request.offset, request.wait, progress, onBatch);
         return;
     }
     const http::Endpoint host = m_context.hosts()->hosts().at(*read.source).peerAddress;
-    snapshot ? m_relayClient.readNewest(host, feed.topic, onPage)
-             : m_relayClient.read(host, feed.topic, request, read.timeout, onBatch);
+    snapshot ? m_relayClient.readNewest(host, feed.topic, progress, onPage)
+             : m_relayClient.read(host, feed.topic, request, read.timeout, progress, onBatch);
+}
+
+void CatalogSync::onProgress(Feed& feed, std::uint64_t read, std::size_t bytes)
+{
+    if (read != feed.reads)
+        return;
+    if (feed.receivedBytes == 0)
+        feed.firstByteAt = m_context.clock.now();
+    feed.receivedBytes = bytes;
 }
 
 void CatalogSync::onReadSucceeded(Feed& feed, ReadOrigin origin)
 {
     feed.failedSince = feed.reader.feed().failingSince();
     feed.origin = std::move(origin);
+    feed.answeredAt = m_context.clock.now();
+    if (feed.receivedBytes == 0)
+        feed.firstByteAt = feed.answeredAt;
     if (feed.origin.host)
         return;
     if (std::exchange(m_storeLost, false))
@@ -191,13 +208,16 @@
     if (read.source) {
         telemetry::logEvent(spdlog::level::info, "relay_lost",
             { { "topic", topicName(feed.topic) }, { "from", read.source->value() }, { "reason", reason },
-                { "confirmed_ms_ago", confirmed ? (now - *confirmed).count() : -1 } });
+                { "confirmed_ms_ago", confirmed ? (now - *confirmed).count() : -1 },
+                { "waited_ms", (now - read.startedAt).count() }, { "timeout_ms", read.timeout.count() },
+                { "received_bytes", feed.receivedBytes } });
         return;
     }
     m_relayServer.onSourceLost(feed.topic);
     if (!std::exchange(m_storeLost, true))
-        telemetry::logEvent(
-            spdlog::level::warn, "store_lost", { { "topic", topicName(feed.topic) }, { "reason", reason } });
+        telemetry::logEvent(spdlog::level::warn, "store_lost",
+            { { "topic", topicName(feed.topic) }, { "reason", reason }, { "waited_ms", (now - read.startedAt).count() },
+                { "timeout_ms", read.timeout.count() }, { "received_bytes", feed.receivedBytes } });
 }
 
 void CatalogSync::applyUpdate(Feed& feed, store::FeedUpdate update)
@@ -273,7 +293,9 @@
         return;
     telemetry::logEvent(spdlog::level::info, "configuration_applied",
         { { "configuration", catalog.version().value() }, { "routes", catalog.routes().size() },
-            { "from", feed.origin.name() }, { "source_age_ms", feed.origin.age.count() } });
+            { "from", feed.origin.name() }, { "source_age_ms", feed.origin.age.count() },
+            { "received_bytes", feed.receivedBytes }, { "transfer_ms", (feed.answeredAt - feed.firstByteAt).count() },
+            { "decode_ms", (m_context.clock.now() - feed.answeredAt).count() } });
     m_context.listener.onConfiguration();
 }
 
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -81,6 +81,11 @@
         boost::asio::steady_timer timeoutTimer;
         // Counts the reads, so that the answer to one that was given up is recognised.
         std::uint64_t reads = 0;
+        // Bytes of the answer to the read under way, and when the first of them arrived.
+        std::size_t receivedBytes = 0;
+        TimePoint firstByteAt {};
+        // When the answer that is being applied was complete.
+        TimePoint answeredAt {};
         store::KnownKeys keys;
         // When the reads before the last successful one began to fail; no value if the preceding read succeeded.
         std::optional<TimePoint> failedSince;
@@ -95,6 +100,7 @@
     // Wraps a handler of the outcome so that it is called for the read under way only.
     template <typename T, typename Handler>
     store::OnOutcome<T> forRead(Feed& feed, const store::TopicRead& read, Handler onValue);
+    void onProgress(Feed& feed, std::uint64_t read, std::size_t bytes);
     void onReadFailed(Feed& feed, const store::TopicRead& read, store::StoreError error, std::string_view reason);
     void onReadSucceeded(Feed& feed, ReadOrigin origin);
     void applyUpdate(Feed& feed, store::FeedUpdate update);
--- a/src/entry/internal/fleetlink.cpp
+++ b/src/entry/internal/fleetlink.cpp
@@ -41,8 +41,6 @@
 
 void logHosts(const char* event, const std::vector<HostId>& hosts)
 {
-    if (hosts.empty())
-        return;
     std::string names;
     for (std::size_t n = 0; n < std::min(hosts.size(), MAX_LOGGED_HOSTS); ++n)
         names += (n ? "," : "") + hosts[n].value();
@@ -158,9 +156,15 @@
         live.begin(), live.end(), m_liveHosts.begin(), m_liveHosts.end(), std::back_inserter(newlyLive));
     std::set_difference(
         m_liveHosts.begin(), m_liveHosts.end(), live.begin(), live.end(), std::back_inserter(newlySilent));
-    logHosts("peer_heard", newlyLive);
-    logHosts("peer_silent", newlySilent);
+    if (!newlyLive.empty())
+        logHosts("peer_heard", newlyLive);
+    if (!newlySilent.empty())
+        logHosts("peer_silent", newlySilent);
     m_liveHosts = std::move(live);
+    std::vector<HostId> readers = hosts().storeReaders(now);
+    if (readers != m_storeReaders)
+        logHosts("store_readers", readers);
+    m_storeReaders = std::move(readers);
     const bool layered = hosts().isLayered();
     const bool aggregator = m_exchange.isAggregator();
     if (std::exchange(m_wasLayered, layered) != layered || std::exchange(m_wasAggregator, aggregator) != aggregator)
@@ -209,7 +213,7 @@
 
 void FleetLink::readHostRecords(const std::string& after)
 {
-    m_store.readNewest(store::Topic::Hosts, after, [this, alive = m_alive](const auto& outcome) {
+    m_store.readNewest(store::Topic::Hosts, after, nullptr, [this, alive = m_alive](const auto& outcome) {
         if (!*alive)
             return;
         if (!outcome.value) {
--- a/src/entry/internal/fleetlink.h
+++ b/src/entry/internal/fleetlink.h
@@ -63,6 +63,8 @@
     bool m_registered = false;
     // State as of the last tick, used to log changes.
     std::set<HostId> m_liveHosts;
+    // The first host of each data centre that reaches the store, as of the last tick.
+    std::vector<HostId> m_storeReaders;
     bool m_wasLayered = false;
     bool m_wasAggregator = false;
     std::uint64_t m_bytesSent = 0;
--- a/src/entry/internal/peerrelay.cpp
+++ b/src/entry/internal/peerrelay.cpp
@@ -229,8 +229,10 @@
 // One call to the relay server of another host.
 class RelayClient::Call final : public http::IResponseObserver, public std::enable_shared_from_this<Call> {
 public:
-    Call(boost::asio::io_context& loop, std::function<void(store::Outcome<std::string>)> done)
+    Call(boost::asio::io_context& loop, store::OnProgress progress,
+        std::function<void(store::Outcome<std::string>)> done)
         : m_timer(loop)
+        , m_progress(std::move(progress))
         , m_done(std::move(done))
     {
     }
@@ -253,7 +255,11 @@
         m_status = head.status;
         return http::HeadVerdict::Accept;
     }
-    void onBodyData(std::string_view piece) override { m_body += piece; }
+    void onBodyData(std::string_view piece) override
+    {
+        m_body += piece;
+        m_progress(m_body.size());
+    }
     void onComplete() override
     {
         if (m_status == STATUS_OK)
@@ -280,6 +286,7 @@
     }
 
     boost::asio::steady_timer m_timer;
+    const store::OnProgress m_progress;
     std::function<void(store::Outcome<std::string>)> m_done;
     std::unique_ptr<http::ClientCall> m_call;
     int m_status = 0;
@@ -294,26 +301,27 @@
 
 RelayClient::~RelayClient() = default;
 
-void RelayClient::call(const http::Endpoint& host, std::string target, Duration timeout,
+void RelayClient::call(const http::Endpoint& host, std::string target, Duration timeout, store::OnProgress progress,
     std::function<void(store::Outcome<std::string>)> done)
 {
     const auto position = m_openCalls.emplace(m_openCalls.end());
-    *position = std::make_shared<Call>(m_loop, [this, position, done = std::move(done)](auto outcome) {
-        const auto self = *position;
-        m_openCalls.erase(position);
-        done(std::move(outcome));
-    });
+    *position
+        = std::make_shared<Call>(m_loop, std::move(progress), [this, position, done = std::move(done)](auto outcome) {
+              const auto self = *position;
+              m_openCalls.erase(position);
+              done(std::move(outcome));
+          });
     (*position)->start(*m_client, host, std::move(target), timeout);
 }
 
 void RelayClient::read(const http::Endpoint& host, store::Topic topic, const store::FeedRequest& request,
-    Duration timeout, store::OnOutcome<store::RecordBatch> done)
+    Duration timeout, store::OnProgress progress, store::OnOutcome<store::RecordBatch> done)
 {
     std::string target = fmt::format(
         "{}?topic={}&from={}&wait={}", READ_PATH, static_cast<int>(topic), request.offset, request.wait.count());
     if (request.era)
         target += fmt::format("&era={}", request.era->value());
-    call(host, std::move(target), timeout, [done = std::move(done)](const auto& raw) {
+    call(host, std::move(target), timeout, std::move(progress), [done = std::move(done)](const auto& raw) {
         if (!raw.value)
             return done(store::Outcome<store::RecordBatch>::failed(raw.error, raw.reason));
         auto answer = decode(*raw.value);
@@ -329,10 +337,11 @@
     });
 }
 
-void RelayClient::readNewest(const http::Endpoint& host, store::Topic topic, store::OnOutcome<store::SnapshotPage> done)
+void RelayClient::readNewest(const http::Endpoint& host, store::Topic topic, store::OnProgress progress,
+    store::OnOutcome<store::SnapshotPage> done)
 {
     std::string target = fmt::format("{}?topic={}", NEWEST_PATH, static_cast<int>(topic));
-    call(host, std::move(target), store::RELAY_TIMEOUT, [done = std::move(done)](const auto& raw) {
+    call(host, std::move(target), store::RELAY_TIMEOUT, std::move(progress), [done = std::move(done)](const auto& raw) {
         if (!raw.value)
             return done(store::Outcome<store::SnapshotPage>::failed(raw.error, raw.reason));
         auto answer = decode(*raw.value);
--- a/src/entry/internal/peerrelay.h
+++ b/src/entry/internal/peerrelay.h
@@ -60,13 +60,14 @@
     ~RelayClient();
 
     void read(const http::Endpoint& host, store::Topic topic, const store::FeedRequest& request, Duration timeout,
-        store::OnOutcome<store::RecordBatch> done);
-    void readNewest(const http::Endpoint& host, store::Topic topic, store::OnOutcome<store::SnapshotPage> done);
+        store::OnProgress progress, store::OnOutcome<store::RecordBatch> done);
+    void readNewest(const http::Endpoint& host, store::Topic topic, store::OnProgress progress,
+        store::OnOutcome<store::SnapshotPage> done);
 
 private:
     class Call;
 
-    void call(const http::Endpoint& host, std::string target, Duration timeout,
+    void call(const http::Endpoint& host, std::string target, Duration timeout, store::OnProgress progress,
         std::function<void(store::Outcome<std::string>)> done);
 
     boost::asio::io_context& m_loop;
--- a/src/entry/internal/rolloutstatuswriter.cpp
+++ b/src/entry/internal/rolloutstatuswriter.cpp
@@ -156,7 +156,7 @@
 
 void RolloutStatusWriter::readStatuses()
 {
-    m_context.store.readNewest(store::Topic::Status, {}, [this, alive = m_alive](const auto& outcome) {
+    m_context.store.readNewest(store::Topic::Status, {}, nullptr, [this, alive = m_alive](const auto& outcome) {
         if (!*alive)
             return;
         if (!outcome.value)
--- a/tests/entry/memorystore.h
+++ b/tests/entry/memorystore.h
@@ -38,14 +38,15 @@
     {
     }
 
-    void read(
-        store::Topic topic, std::uint64_t offset, Duration wait, store::OnOutcome<store::RecordBatch> done) override
+    void read(store::Topic topic, std::uint64_t offset, Duration wait, store::OnProgress,
+        store::OnOutcome<store::RecordBatch> done) override
     {
         ++m_calls;
         answerRead(topic, offset, wait, std::move(done));
     }
 
-    void readNewest(store::Topic topic, const std::string&, store::OnOutcome<store::SnapshotPage> done) override
+    void readNewest(
+        store::Topic topic, const std::string&, store::OnProgress, store::OnOutcome<store::SnapshotPage> done) override
     {
         ++m_calls;
         boost::asio::post(m_loop, [this, topic, done = std::move(done)] {
