Large configurations: a read goes on while its answer arrives, and less is transferred

What callers saw: requests handled by a configuration that was replaced more than 3 s before (CONFIG: "handled by version 2 or older; version 4 was acked more than 3000 ms before"), without any fault, after a configuration with 1,200 routes more. Cause: a read of the configuration was given up 200 to 400 ms (hosts) or 300 ms (store) after it began, however much of its answer had arrived. 256 KB to each of 16 hosts from one link, or over 10 Mbit/s, take longer. The source then counted as failed for 2 s, the next one began from nothing, and hosts went through all hosts of their data centre and the store. The class of fault: a time-out chosen for small records, apart from the size of what it waits for. Change: once a part of an answer has arrived, the read is given up when no more of it arrives for 400 ms, and at the latest after the topic's bound; a timer that a late event loop handles lets it read first what has arrived.

--- a/include/fireflyhaven/store/keyedfeed.h
+++ b/include/fireflyhaven/store/keyedfeed.h
@@ -11,6 +11,9 @@
     Duration interval { 0 };
     // Long-poll time: how long a read may wait at its source for a new record.
     Duration wait { 0 };
+    // A host whose records are older than this reads a snapshot instead of all records since then; unlimited where
+    // zero.
+    Duration maxTailAge { 0 };
     // Pause after a failed read. It doubles with each further failure, up to the maximum.
     Duration initialBackoff { 100 };
     Duration maxBackoff { 500 };
--- a/include/fireflyhaven/store/readtiming.h
+++ b/include/fireflyhaven/store/readtiming.h
@@ -23,6 +23,9 @@
 constexpr Duration FALLBACK_SOURCE_TIMEOUT { 200 };
 // The store answers a call within this time, beyond the wait of the read; otherwise the read counts as failed.
 constexpr Duration STORE_ANSWER_TIME { 300 };
+// An answer that has begun to arrive counts as failed when no more of it arrives for this long: large records take
+// longer to transfer on a slow link than a source has to begin its answer.
+constexpr Duration ANSWER_SILENCE { 400 };
 // In a layered fleet, hosts that are not substitutes give up a source this much later.
 constexpr Duration SUBSTITUTE_HEAD_START { 250 };
 
--- a/include/fireflyhaven/store/relaylog.h
+++ b/include/fireflyhaven/store/relaylog.h
@@ -2,13 +2,14 @@
 
 #include "fireflyhaven/store/keyedfeed.h"
 
-#include <deque>
+#include <list>
 #include <map>
 
 namespace fireflyhaven::store {
 
 // In-memory copy of a topic as one host has read it, from which other hosts read instead of from the store: the newest
-// record of each key, and a bounded tail of the last records in their order, at the store's own offsets. Does no I/O.
+// record of each key, and a bounded tail of the last records in their order, at the store's own offsets. The tail holds
+// the last record of a key only: what a later one has replaced is of no use to a reader. Does no I/O.
 class RelayLog {
 public:
     explicit RelayLog(std::size_t maxRecords = 4096);
@@ -24,6 +25,9 @@
     std::uint64_t nextOffset() const { return m_nextOffset; }
 
 private:
+    // Appends a record to the tail, in place of an earlier one of its key.
+    void retain(const KeyedRecord& record, std::uint64_t endOffset);
+
     struct RetainedRecord {
         // Next offset after the update in which the record arrived.
         std::uint64_t endOffset = 0;
@@ -33,7 +37,9 @@
     const std::size_t m_maxRecords;
     bool m_hasSnapshot = false;
     std::map<std::string, KeyedRecord> m_newest;
-    std::deque<RetainedRecord> m_records;
+    std::list<RetainedRecord> m_records;
+    // Position of each key in the tail.
+    std::map<std::string, std::list<RetainedRecord>::iterator> m_positions;
     // Records before this offset have been dropped from the tail.
     std::uint64_t m_firstOffset = 0;
     std::uint64_t m_nextOffset = 0;
--- a/include/fireflyhaven/store/topicreader.h
+++ b/include/fireflyhaven/store/topicreader.h
@@ -40,6 +40,10 @@
     // When `poll` may return a read; no value while one is under way.
     std::optional<TimePoint> nextPoll(const ReadContext& context) const;
 
+    // When a read is given up of whose answer a part has arrived now. An answer has to be complete within the topic's
+    // propagation bound, beyond the wait of the read.
+    TimePoint deadlineAfterProgress(const TopicRead& read, const ReadContext& context) const;
+
     // Why an answer counts as a failed read; no value if it counts.
     std::optional<std::string_view> rejectionOf(
         const TopicRead& read, Duration sourceAge, const std::optional<Era>& era, const ReadContext& context) const;
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -10,6 +10,8 @@
 constexpr Duration MIN_OUTAGE { 1000 };
 // Live upstreams renew their registrations within this time after an outage.
 constexpr Duration REREGISTRATION_GRACE { 2300 };
+// An event loop that handles a timer this late may not have read yet what has arrived meanwhile.
+constexpr Duration LATE_LOOP { 50 };
 
 template <typename... Handlers> struct Overloaded : Handlers... {
     using Handlers::operator()...;
@@ -115,6 +117,7 @@
         if (!*alive || number != feed.reads)
             return;
         feed.timeoutTimer.cancel();
+        feed.relayCall.reset();
         if (!outcome.value) {
             onReadFailed(feed, read, outcome.error, outcome.reason);
         } else if (const auto reason
@@ -141,19 +144,14 @@
 void CatalogSync::startRead(Feed& feed, const store::TopicRead& read)
 {
     const std::uint64_t number = ++feed.reads;
-    feed.timeoutTimer.expires_after(read.timeout);
-    feed.timeoutTimer.async_wait([this, alive = m_alive, &feed, read, number](boost::system::error_code ec) {
-        if (ec || !*alive || number != feed.reads)
-            return;
-        ++feed.reads;
-        onReadFailed(feed, read, store::StoreError::Unknown, "no answer in time");
-        advance(feed);
-    });
+    feed.deadline = read.startedAt + read.timeout;
+    feed.isLateLoopAllowedFor = false;
+    awaitAnswer(feed, read);
     feed.receivedBytes = 0;
     const store::FeedRequest& request = read.request;
-    const auto progress = [this, alive = m_alive, &feed, number](std::size_t bytes) {
-        if (*alive)
-            onProgress(feed, number, bytes);
+    const auto progress = [this, alive = m_alive, &feed, read, number](std::size_t bytes) {
+        if (*alive && number == feed.reads)
+            onProgress(feed, read, bytes);
     };
     const auto onPage = forRead<store::SnapshotPage>(feed, read, [this, &feed, read](const store::SnapshotPage& page) {
         if (auto update = feed.reader.onPage(read, page, m_context.clock.now()))
@@ -169,17 +167,45 @@
         return;
     }
     const http::Endpoint host = m_context.hosts()->hosts().at(*read.source).peerAddress;
-    snapshot ? m_relayClient.readNewest(host, feed.topic, progress, onPage)
-             : m_relayClient.read(host, feed.topic, request, read.timeout, progress, onBatch);
+    feed.relayCall = snapshot ? m_relayClient.readNewest(host, feed.topic, progress, onPage)
+                              : m_relayClient.read(host, feed.topic, request, progress, onBatch);
+}
+
+void CatalogSync::awaitAnswer(Feed& feed, const store::TopicRead& read)
+{
+    feed.timeoutTimer.expires_after(feed.deadline - m_context.clock.now());
+    feed.timeoutTimer.async_wait(
+        [this, alive = m_alive, &feed, read, number = feed.reads](boost::system::error_code ec) {
+            if (!ec && *alive && number == feed.reads)
+                onDeadline(feed, read);
+        });
 }
 
-void CatalogSync::onProgress(Feed& feed, std::uint64_t read, std::size_t bytes)
+void CatalogSync::onDeadline(Feed& feed, const store::TopicRead& read)
 {
-    if (read != feed.reads)
+    const TimePoint now = m_context.clock.now();
+    // More of the answer has arrived since this handler was queued.
+    if (now < feed.deadline)
         return;
+    // A late event loop handles its timers before the answers that have arrived meanwhile.
+    if (now - feed.deadline >= LATE_LOOP && !std::exchange(feed.isLateLoopAllowedFor, true)) {
+        feed.deadline = now + LATE_LOOP;
+        return awaitAnswer(feed, read);
+    }
+    ++feed.reads;
+    if (const auto call = std::exchange(feed.relayCall, std::nullopt))
+        m_relayClient.cancel(*call);
+    onReadFailed(feed, read, store::StoreError::Unknown, "no answer in time");
+    advance(feed);
+}
+
+void CatalogSync::onProgress(Feed& feed, const store::TopicRead& read, std::size_t bytes)
+{
     if (feed.receivedBytes == 0)
         feed.firstByteAt = m_context.clock.now();
     feed.receivedBytes = bytes;
+    feed.deadline = feed.reader.deadlineAfterProgress(read, readContext());
+    awaitAnswer(feed, read);
 }
 
 void CatalogSync::onReadSucceeded(Feed& feed, ReadOrigin origin)
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -81,6 +81,12 @@
         boost::asio::steady_timer timeoutTimer;
         // Counts the reads, so that the answer to one that was given up is recognised.
         std::uint64_t reads = 0;
+        // When the read under way is given up.
+        TimePoint deadline {};
+        // Whether the read under way was given more time because the event loop was late.
+        bool isLateLoopAllowedFor = false;
+        // The call of the read under way, if it reads from another host.
+        std::optional<RelayCallId> relayCall;
         // Bytes of the answer to the read under way, and when the first of them arrived.
         std::size_t receivedBytes = 0;
         TimePoint firstByteAt {};
@@ -100,7 +106,10 @@
     // Wraps a handler of the outcome so that it is called for the read under way only.
     template <typename T, typename Handler>
     store::OnOutcome<T> forRead(Feed& feed, const store::TopicRead& read, Handler onValue);
-    void onProgress(Feed& feed, std::uint64_t read, std::size_t bytes);
+    // Waits for the answer to the read under way until the feed's deadline.
+    void awaitAnswer(Feed& feed, const store::TopicRead& read);
+    void onDeadline(Feed& feed, const store::TopicRead& read);
+    void onProgress(Feed& feed, const store::TopicRead& read, std::size_t bytes);
     void onReadFailed(Feed& feed, const store::TopicRead& read, store::StoreError error, std::string_view reason);
     void onReadSucceeded(Feed& feed, ReadOrigin origin);
     void applyUpdate(Feed& feed, store::FeedUpdate update);
--- a/src/entry/internal/peerrelay.h
+++ b/src/entry/internal/peerrelay.h
@@ -5,6 +5,7 @@
 #include "fireflyhaven/http/eventserver.h"
 #include "fireflyhaven/store/recordstore.h"
 #include "fireflyhaven/store/topicreader.h"
+#include "recordpacker.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -32,12 +33,14 @@
     struct PendingRead {
         std::shared_ptr<http::Exchange> exchange;
         store::Topic topic = store::Topic::Operator;
+        bool acceptsPacked = false;
         store::WaitingRead read;
     };
 
     void onRequest(std::shared_ptr<http::Exchange> exchange);
     void answerRead(const PendingRead& pending);
-    void answerNewest(http::Exchange& exchange, store::Topic topic);
+    void answerNewest(http::Exchange& exchange, store::Topic topic, bool acceptsPacked);
+    std::vector<PackedRecord> packLargeRecords(std::vector<store::KeyedRecord>& records);
     bool isAnswerDue(const PendingRead& pending) const;
     void answerPendingReads();
     Duration age(store::Topic topic) const;
@@ -47,32 +50,38 @@
     const IClock& m_clock;
     const FeedOf m_feedOf;
     std::map<store::Topic, store::RelayLog> m_logs;
+    RecordPacker m_packer;
     std::list<PendingRead> m_pendingReads;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<http::EventServer> m_server;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
-// Reads records of the store through another host's relay server.
+// Identifies a call of a relay client.
+using RelayCallId = StrongNumber<struct RelayCallTag>;
+
+// Reads records of the store through another host's relay server. The caller ends the calls that take too long.
 class RelayClient {
 public:
     RelayClient(boost::asio::io_context& loop, const IClock& clock);
     ~RelayClient();
 
-    void read(const http::Endpoint& host, store::Topic topic, const store::FeedRequest& request, Duration timeout,
+    RelayCallId read(const http::Endpoint& host, store::Topic topic, const store::FeedRequest& request,
         store::OnProgress progress, store::OnOutcome<store::RecordBatch> done);
-    void readNewest(const http::Endpoint& host, store::Topic topic, store::OnProgress progress,
+    RelayCallId readNewest(const http::Endpoint& host, store::Topic topic, store::OnProgress progress,
         store::OnOutcome<store::SnapshotPage> done);
+    // Ends a call whose answer is not awaited any longer; its outcome is not reported.
+    void cancel(RelayCallId call);
 
 private:
     class Call;
 
-    void call(const http::Endpoint& host, std::string target, Duration timeout, store::OnProgress progress,
+    RelayCallId call(const http::Endpoint& host, std::string target, store::OnProgress progress,
         std::function<void(store::Outcome<std::string>)> done);
 
-    boost::asio::io_context& m_loop;
     std::unique_ptr<http::EventClient> m_client;
-    std::list<std::shared_ptr<Call>> m_openCalls;
+    std::map<RelayCallId, std::shared_ptr<Call>> m_openCalls;
+    std::uint64_t m_lastCall = 0;
 };
 
 }
--- a/src/store/internal/keyedfeed.cpp
+++ b/src/store/internal/keyedfeed.cpp
@@ -22,6 +22,9 @@
     m_requestInFlight = true;
     m_requestedAt = now;
     endRestoration(now);
+    const bool limitsTail = m_options.maxTailAge > Duration(0) && m_currentAt;
+    if (m_tailing && limitsTail && now - *m_currentAt > m_options.maxTailAge)
+        startSnapshot(now);
     if (m_tailing)
         return FeedRequest {
             .kind = FeedRequest::Kind::Read, .after = {}, .offset = m_offset, .era = m_era, .wait = m_options.wait
--- a/src/store/internal/readtiming.cpp
+++ b/src/store/internal/readtiming.cpp
@@ -40,11 +40,13 @@
 {
     switch (topic) {
     case Topic::Operator:
-        return { .wait = std::min(MAX_OPERATOR_WAIT, fractionOf(bound(topic), OPERATOR_WAIT_FRACTION)) };
+        return { .wait = std::min(MAX_OPERATOR_WAIT, fractionOf(bound(topic), OPERATOR_WAIT_FRACTION)),
+            .maxTailAge = bound(topic) };
     case Topic::Upstreams:
         return { .interval = overTwoHops
                 ? UPSTREAM_INTERVAL_TWO_HOPS
-                : std::min(MAX_UPSTREAM_INTERVAL, fractionOf(bound(topic), UPSTREAM_INTERVAL_FRACTION)) };
+                : std::min(MAX_UPSTREAM_INTERVAL, fractionOf(bound(topic), UPSTREAM_INTERVAL_FRACTION)),
+            .maxTailAge = bound(topic) };
     default:
         return { .interval = STATUS_INTERVAL };
     }
--- a/src/store/internal/relaylog.cpp
+++ b/src/store/internal/relaylog.cpp
@@ -16,6 +16,7 @@
         if (!update.isRestored)
             m_newest.clear();
         m_records.clear();
+        m_positions.clear();
         m_firstOffset = nextOffset;
         m_hasSnapshot = true;
     }
@@ -26,16 +27,26 @@
         else
             m_newest.erase(it.key);
         if (!update.replacesAll && isChange[n])
-            m_records.push_back({ .endOffset = nextOffset, .record = it });
+            retain(it, nextOffset);
     }
     m_nextOffset = nextOffset;
     m_era = era;
     while (m_records.size() > m_maxRecords) {
         m_firstOffset = m_records.front().endOffset;
+        m_positions.erase(m_records.front().record.key);
         m_records.pop_front();
     }
 }
 
+void RelayLog::retain(const KeyedRecord& record, std::uint64_t endOffset)
+{
+    const auto earlier = m_positions.find(record.key);
+    if (earlier != m_positions.end())
+        m_records.erase(earlier->second);
+    m_records.push_back({ .endOffset = endOffset, .record = record });
+    m_positions[record.key] = std::prev(m_records.end());
+}
+
 std::optional<RecordBatch> RelayLog::read(std::uint64_t offset, std::optional<Era> era) const
 {
     const bool isOtherEra = era && m_era && *era != *m_era;
--- a/src/store/internal/topicreader.cpp
+++ b/src/store/internal/topicreader.cpp
@@ -64,6 +64,12 @@
     return std::clamp(untilTooOld, MIN_RELAY_TIMEOUT, wait + RELAY_TIMEOUT);
 }
 
+TimePoint TopicReader::deadlineAfterProgress(const TopicRead& read, const ReadContext& context) const
+{
+    const TimePoint last = read.startedAt + read.request.wait + context.timing.bound(m_topic);
+    return std::max(read.startedAt + read.timeout, std::min(context.now + ANSWER_SILENCE, last));
+}
+
 std::optional<std::string_view> TopicReader::rejectionOf(
     const TopicRead& read, Duration sourceAge, const std::optional<Era>& era, const ReadContext& context) const
 {
--- a/src/store/tests/partitionedfleet.h
+++ b/src/store/tests/partitionedfleet.h
@@ -97,6 +97,7 @@
         std::unique_ptr<RelayLog> log;
         std::deque<PendingRead> pending;
         std::optional<TopicRead> read;
+        TimePoint deadline {};
         std::uint64_t reads = 0;
         int version = 0;
     };
@@ -133,6 +134,7 @@
     void transfer(
         std::optional<std::size_t> from, std::size_t to, Topic topic, std::size_t bytes, std::function<void()> done);
     void moveTransfers();
+    void onProgress(const Transfer& it);
     bool isWanted(const Transfer& it) const;
     double linkOf(std::size_t host) const;
 
