Hosts whose way to the store comes back are current within a stated time

What callers saw: nothing that is shown; after a cut of a data centre its hosts stayed at an old configuration for longer than the time after which they count as reachable (the users' trace: 10.5 s behind, 5.3 s after the first host). Cause: the pause before a host calls the store again was 1.5 s times hosts / 4 while it knew no host that reaches the store (6 s for 17 hosts, 21 s for 59), where the change has to be in force 3 s after it is acknowledged; a host without a way avoided the hosts that had failed for 2 s, also the only one that was current; who reaches the store was told with the rosters, every 3 s. Change: the pause is 1 s at most for every host and differs by host and attempt, so that the load on a store that comes back is spread and not delayed; a host without a way returns to the source whose failure is the longest ago; a change of who reaches the store is reported with the next tick and passed on with the next digest.

--- a/include/fireflyhaven/fleet/exchange.h
+++ b/include/fireflyhaven/fleet/exchange.h
@@ -152,9 +152,13 @@
     std::vector<HostId> m_aggregators;
     // Lasting work times of upstreams in this host's newest report; digests pass them on.
     ShortList<UpstreamSpeed> m_ownSpeeds;
-    // Ranked hosts of this data centre when the last digests were sent, and the tick in which they last changed.
+    // What rosters tell, as of the last digests: the ranked hosts of this data centre, and the first host of each data
+    // centre that reaches the store. The tick is that of the last change.
     std::vector<HostId> m_lastRanking;
-    std::uint32_t m_rankingChangedTick = 0;
+    std::vector<HostId> m_lastStoreReaders;
+    std::uint32_t m_rosterChangedTick = 0;
+    // Whether this host's last report said that it reaches the store.
+    bool m_reportedStoreAccess = false;
     TimePoint m_digestReceivedAt {};
     // Start of the current wait for a digest; set anew when the aggregators are suspected.
     TimePoint m_awaitingDigestSince {};
--- a/include/fireflyhaven/store/readtiming.h
+++ b/include/fireflyhaven/store/readtiming.h
@@ -14,6 +14,8 @@
     Duration upstreamDrain { 2000 };
     // An evacuated data centre receives no new requests.
     Duration evacuation { 5000 };
+    // A host whose way to the store comes back is current again, and a host that starts is current.
+    Duration reachable { 3000 };
 };
 
 // A read from another host fails where the answer takes longer than the wait of the read plus this time.
@@ -23,10 +25,12 @@
 constexpr Duration FALLBACK_SOURCE_TIMEOUT { 200 };
 // The store answers a call within this time, beyond the wait of the read; otherwise the read counts as failed.
 constexpr Duration STORE_ANSWER_TIME { 300 };
+// The same after several reads without an answer, so that a slow store is read at all.
+constexpr Duration MAX_STORE_ANSWER_TIME = STORE_ANSWER_TIME * 4;
 // An answer that has begun to arrive counts as failed when no more of it arrives for this long: large records take
 // longer to transfer on a slow link than a source has to begin its answer.
 constexpr Duration ANSWER_SILENCE { 400 };
-// In a layered fleet, hosts that are not substitutes give up a source this much later.
+// In a layered fleet, hosts that are not substitutes give up a source at most this much later.
 constexpr Duration SUBSTITUTE_HEAD_START { 250 };
 
 // Timing of the reads of each topic, from the store or from another host: the interval between reads, the time for
@@ -50,6 +54,8 @@
     FeedOptions fromHost(Topic topic, bool overTwoHops) const;
     // Maximum age of another host's data. Older data counts as a failed read, and another source is selected.
     Duration maxSourceAge(Topic topic, bool overTwoHops) const;
+    // In a layered fleet, hosts that are not substitutes give up a source this much later than those that are.
+    Duration substituteHeadStart(Topic topic) const;
     // Maximum time until a change of the topic is in force.
     Duration bound(Topic topic) const;
 
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -35,6 +35,15 @@
 
 }
 
+store::PropagationBounds propagationBounds(const ServiceBounds& bounds)
+{
+    return { .configuration = bounds.configurationApply,
+        .revocation = bounds.revocation,
+        .upstreamDrain = bounds.upstreamDrain,
+        .evacuation = bounds.evacuation,
+        .reachable = bounds.reachableAfter };
+}
+
 CatalogSync::CatalogSync(CatalogSyncContext context)
     : m_context(std::move(context))
     , m_relayServer(m_context.loop, m_context.clock, [this](store::Topic topic) { return feedOf(topic); })
@@ -86,12 +95,8 @@
 
 store::ReadContext CatalogSync::readContext() const
 {
-    const ServiceBounds& bounds = m_context.settings.bounds;
     return { .hosts = m_context.hosts(),
-        .timing = store::ReadTiming({ .configuration = bounds.configurationApply,
-            .revocation = bounds.revocation,
-            .upstreamDrain = bounds.upstreamDrain,
-            .evacuation = bounds.evacuation }),
+        .timing = store::ReadTiming(propagationBounds(m_context.settings.bounds)),
         .now = m_context.clock.now() };
 }
 
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -27,6 +27,9 @@
     virtual void onUpstreamGone(const UpstreamId& id) = 0;
 };
 
+// The bounds within which changes in the store reach every host.
+store::PropagationBounds propagationBounds(const ServiceBounds& bounds);
+
 struct CatalogSyncContext {
     boost::asio::io_context& loop;
     const IClock& clock;
--- a/src/fleet/internal/exchange.cpp
+++ b/src/fleet/internal/exchange.cpp
@@ -1,6 +1,7 @@
 #include "fireflyhaven/fleet/exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fireflyhaven::fleet {
 
@@ -334,7 +335,8 @@
     const bool aggregator = isAggregator();
     const HostReport own = makeReport(full || aggregator, now);
     const bool idle = own.upstreams.items.empty();
-    const bool due = full || aggregator || !idle || m_ticks % m_options.idleReportIntervalTicks == 0;
+    const bool isNews = std::exchange(m_reportedStoreAccess, own.reachesStore) != own.reachesStore;
+    const bool due = full || aggregator || !idle || isNews || m_ticks % m_options.idleReportIntervalTicks == 0;
     const std::string bytes = due ? encodeReport(own) : std::string();
     for (const HostId& it : m_aggregators) {
         if (due && it != m_options.self)
@@ -455,10 +457,12 @@
 void Exchange::sendToHosts(std::vector<Datagram>& out, TimePoint now)
 {
     std::vector<HostId> ranking = m_hosts.ranked(m_options.dataCentre, now);
-    if (ranking != m_lastRanking)
-        m_rankingChangedTick = m_ticks;
+    std::vector<HostId> readers = m_hosts.storeReaders(now);
+    if (ranking != m_lastRanking || readers != m_lastStoreReaders)
+        m_rosterChangedTick = m_ticks;
     m_lastRanking = std::move(ranking);
-    const bool changed = m_ticks - m_rankingChangedTick < IDLE_DIGEST_INTERVAL_TICKS;
+    m_lastStoreReaders = std::move(readers);
+    const bool changed = m_ticks - m_rosterChangedTick < IDLE_DIGEST_INTERVAL_TICKS;
     std::uint32_t position = m_ticks;
     for (const auto& [id, host] : m_hosts.hosts()) {
         const bool isMember = host.report.dataCentre == m_options.dataCentre && m_hosts.hasRecentReport(host, now);
--- a/src/store/internal/readsourceselector.cpp
+++ b/src/store/internal/readsourceselector.cpp
@@ -1,9 +1,18 @@
 #include "fireflyhaven/store/readsourceselector.h"
 
+#include "fireflyhaven/common/hash.h"
+
 #include <algorithm>
 
 namespace fireflyhaven::store {
 
+namespace {
+
+// Part of the retry time by which the hosts differ.
+constexpr double MAX_RETRY_SPREAD = 0.4;
+
+}
+
 ReadSourceSelector::ReadSourceSelector(ReadSourceOptions options)
     : m_options(options)
 {
@@ -13,8 +22,12 @@
 {
     if (now < m_directReadUntil || (!m_reachesStore && mayTryStore(hosts, now)))
         return std::nullopt;
-    if (hosts.isLayered())
-        return layeredSource(hosts, now);
+    const auto preferred = hosts.isLayered() ? layeredSource(hosts, now) : flatSource(hosts, now);
+    return preferred || m_reachesStore ? preferred : earliestFailedSource(hosts, now);
+}
+
+std::optional<HostId> ReadSourceSelector::flatSource(const fleet::HostTable& hosts, TimePoint now) const
+{
     std::vector<HostId> candidates;
     if (m_reachesStore)
         candidates.push_back(hosts.self());
@@ -47,6 +60,19 @@
     return first == hosts.self() ? std::nullopt : std::optional(first);
 }
 
+std::optional<HostId> ReadSourceSelector::earliestFailedSource(const fleet::HostTable& hosts, TimePoint now) const
+{
+    std::optional<HostId> earliest;
+    for (const fleet::KnownHost* it : hosts.live(now)) {
+        const HostId& id = it->report.host;
+        if (!it->report.reachesStore || !hasFailed(id, now))
+            continue;
+        if (!earliest || m_failedSources.at(id) < m_failedSources.at(*earliest))
+            earliest = id;
+    }
+    return earliest;
+}
+
 void ReadSourceSelector::onStart(bool together, TimePoint now)
 {
     constexpr int JOINT_START_FACTOR = 3;
@@ -85,21 +111,17 @@
 
 bool ReadSourceSelector::mayTryStore(const fleet::HostTable& hosts, TimePoint now) const
 {
-    Duration::rep factor = 1;
-    // The longer interval limits the load on the store while no host reaches it. Where other hosts reach the store, the
-    // cause may lie at this host alone, and it retries at the normal interval.
-    if (hosts.isLayered() && !isSubstitute(hosts, now) && hosts.storeReaders(now).empty()) {
-        const std::size_t retryingHosts = hosts.ranked(hosts.ownDataCentre(), now).size();
-        factor
-            = static_cast<Duration::rep>(std::max<std::size_t>(1, retryingHosts / m_options.storeAttemptsPerInterval));
-    }
-    return now - m_lastStoreReadAt >= m_options.storeRetry * factor;
+    const double spread = unitInterval(stableHash(hosts.self().value(), m_storeReads));
+    const double part = 1 - MAX_RETRY_SPREAD * spread;
+    const Duration pause(static_cast<Duration::rep>(static_cast<double>(m_options.storeRetry.count()) * part));
+    return now - m_lastStoreReadAt >= pause;
 }
 
 void ReadSourceSelector::onStoreRead(bool succeeded, TimePoint now)
 {
     m_reachesStore = succeeded;
     m_lastStoreReadAt = now;
+    ++m_storeReads;
     if (!succeeded)
         m_directReadUntil = {};
 }
--- a/src/store/internal/readtiming.cpp
+++ b/src/store/internal/readtiming.cpp
@@ -19,6 +19,7 @@
 constexpr double DRAIN_WAIT_FRACTION = 0.2;
 // Fraction of a bound at which a host gives up its source. What is left of the bound is for reading elsewhere.
 constexpr double SOURCE_AGE_FRACTION = 0.45;
+constexpr double HEAD_START_FRACTION = 0.125;
 // The status topic is read at a long interval, so that its data is older.
 constexpr Duration MAX_STATUS_SOURCE_AGE { 9000 };
 
@@ -63,6 +64,11 @@
     return { .wait = overTwoHops ? HOST_WAIT_TWO_HOPS : HOST_WAIT };
 }
 
+Duration ReadTiming::substituteHeadStart(Topic topic) const
+{
+    return std::min(SUBSTITUTE_HEAD_START, fractionOf(bound(topic), HEAD_START_FRACTION));
+}
+
 Duration ReadTiming::maxSourceAge(Topic topic, bool /*overTwoHops*/) const
 {
     return topic == Topic::Status ? MAX_STATUS_SOURCE_AGE : fractionOf(bound(topic), SOURCE_AGE_FRACTION);
--- a/src/store/internal/topicreader.cpp
+++ b/src/store/internal/topicreader.cpp
@@ -9,8 +9,9 @@
 constexpr Duration SOURCE_RETRY_INTERVAL { 50 };
 // A read from another host gets at least this long.
 constexpr Duration MIN_RELAY_TIMEOUT { 50 };
-// The time for an answer of the store doubles with each read that had none, up to this many times.
+// The time for an answer of the store doubles with each read that had none, up to MAX_STORE_ANSWER_TIME.
 constexpr int MAX_TIMEOUT_DOUBLINGS = 2;
+static_assert(STORE_ANSWER_TIME * (1 << MAX_TIMEOUT_DOUBLINGS) == MAX_STORE_ANSWER_TIME);
 }
 
 std::optional<TopicRead> TopicReader::poll(const ReadContext& context)
@@ -48,7 +49,7 @@
     const Duration age = context.timing.maxSourceAge(m_topic, twoHops);
     // The substitutes give up a source first, so that the other hosts find them current.
     const bool isLast = twoHops && !m_selector.isSubstitute(*context.hosts, context.now);
-    return isLast ? age + SUBSTITUTE_HEAD_START : age;
+    return isLast ? age + context.timing.substituteHeadStart(m_topic) : age;
 }
 
 Duration TopicReader::timeoutOf(const TopicRead& read, const ReadContext& context) const
@@ -119,7 +120,8 @@
     // Another source may have what this one has just failed to give.
     const bool hasHosts = context.hosts;
     const auto next = hasHosts ? m_selector.source(*context.hosts, context.now) : std::nullopt;
-    if (hasHosts && next != read.source)
+    const bool hasFailedToo = next && m_selector.hasFailed(*next, context.now);
+    if (hasHosts && next != read.source && !hasFailedToo)
         m_feed.scheduleNow(context.now);
 }
 
