A host that cannot show that its configuration is in force says so

What callers saw: a host that has heard nothing for longer than config_apply_ms ran requests without keys by routes that may have been replaced, and answered 404 and 401 up to 3 s after its last confirmation, also where the bound is 2 s. Cause: only keys were tied to the age of the configuration; the limit for 404 and 401 was a constant beside the bound. Change: where other hosts reach the store, a request at a host whose records are older than the bound is refused with Retry-After, since it has not run and a current host can take it; 404 and 401 follow the bound of the settings; configuration_unconfirmed is logged once when half of the bound has passed and configuration_confirmed when the host is current again, with a counter and the gauge configuration_bound_seconds beside configuration_age_seconds. Bounds that no host can keep are refused at the start (InvalidArgument, with the parts of the sum) and at a reload, which keeps the old ones. Weighed: handing such a request to another host was not built. A host with a way is current (PropagationBudget); one without a way reaches nobody to hand to; what is left is a host that is overloaded, and a hand-over costs it more than a refusal. While nobody is known to reach the store, requests without keys go on as before, since no other host knows better.

--- a/include/fireflyhaven/entry/flowcontext.h
+++ b/include/fireflyhaven/entry/flowcontext.h
@@ -24,6 +24,8 @@
     virtual bool mayAcceptKeys(TimePoint now) const = 0;
     // Whether the local copy of the store is current, so that a route or key missing from it does not exist.
     virtual bool isCatalogCurrent(TimePoint now) const = 0;
+    // Whether this host cannot show that its configuration is in force, although other hosts reach the store and can.
+    virtual bool isBehindOthers(TimePoint now) const = 0;
     // Time since the operator's records were last confirmed; negative if they never were.
     virtual Duration configurationAge(TimePoint now) const = 0;
     // Number of hosts that may be sending to upstreams, including this one.
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -7,6 +7,7 @@
 #include "fireflyhaven/common/hash.h"
 #include "fireflyhaven/http/eventserver.h"
 #include "fireflyhaven/http/types/status.h"
+#include "fireflyhaven/store/propagationbudget.h"
 #include "fleetlink.h"
 #include "handoverdispatcher.h"
 #include "limitlink.h"
@@ -35,8 +36,6 @@
 constexpr Duration HOST_USER_TIMEOUT { 700 };
 // Interval at which a summary of the host's state is logged.
 constexpr Duration STATE_LOG_INTERVAL { 5000 };
-// An unknown route is reported as not found only if the operator's records were confirmed within this time.
-constexpr Duration MAX_AGE_FOR_NOT_FOUND { 3000 };
 // Keys are accepted until this long before the revocation bound expires.
 constexpr Duration REVOCATION_MARGIN { 500 };
 // New requests are accepted for this long after SIGTERM, because callers cache addresses. Streams are accepted for a
@@ -60,6 +59,16 @@
         .sessionIdleTimeout = bounds.sessionWindow };
 }
 
+// Refuses bounds that no host can keep.
+Result<void> checkBounds(const ServiceBounds& bounds)
+{
+    const std::string violations = store::PropagationBudget(propagationBounds(bounds)).violations();
+    if (!violations.empty())
+        return failure(
+            ErrorCode::InvalidArgument, "bounds are too short for changes to reach the hosts: " + violations);
+    return {};
+}
+
 class AsioEntryHost final : public EntryHost, public IHostView, public ICatalogListener, public fleet::IReportDelegate {
 public:
     AsioEntryHost(boost::asio::io_context& loop, const IClock& clock, const IWireCodec& codec,
@@ -150,6 +159,7 @@
               .onChanged = [this](bool cutOff) { onReachChanged(cutOff); } })
         , m_statusPages({ .clock = clock,
               .host = m_settings.host,
+              .bounds = m_settings.bounds,
               .catalog = m_catalog,
               .balancer = m_balancer,
               .rollouts = m_rollouts,
@@ -204,6 +214,11 @@
         if (addressesChanged)
             telemetry::logEvent(spdlog::level::warn, "settings_partly_taken",
                 { { "reason", "address changes take effect at the next start" } });
+        const std::string violations = store::PropagationBudget(propagationBounds(settings.bounds)).violations();
+        if (!violations.empty()) {
+            telemetry::logEvent(spdlog::level::err, "settings_rejected", { { "reason", violations } });
+            return;
+        }
         m_settings.bounds = settings.bounds;
         m_settings.limits = settings.limits;
         m_rollouts.setOptions(rolloutOptions(settings.bounds));
@@ -235,7 +250,16 @@
     bool isCatalogCurrent(TimePoint now) const override
     {
         const auto confirmed = m_catalogSync.operatorConfirmedAt();
-        return confirmed && !m_catalogSync.operatorReadsFail() && now - *confirmed < MAX_AGE_FOR_NOT_FOUND;
+        return confirmed && !m_catalogSync.operatorReadsFail()
+            && now - *confirmed < m_settings.bounds.configurationApply;
+    }
+    bool isBehindOthers(TimePoint now) const override
+    {
+        const auto confirmed = m_catalogSync.operatorConfirmedAt();
+        if (confirmed && now - *confirmed < m_settings.bounds.configurationApply)
+            return false;
+        const std::vector<const fleet::KnownHost*> live = m_fleetLink.hosts().live(now);
+        return std::any_of(live.begin(), live.end(), [](const auto* it) { return it->report.reachesStore; });
     }
     Duration configurationAge(TimePoint now) const override
     {
@@ -478,8 +502,27 @@
     {
         if (m_tickDueAt != TimePoint {})
             m_metrics.observe("loop_delay", std::max(Duration(0), now - m_tickDueAt));
-        if (const auto confirmed = m_catalogSync.operatorConfirmedAt())
+        if (const auto confirmed = m_catalogSync.operatorConfirmedAt()) {
             m_metrics.observe("knowledge_age", now - *confirmed);
+            logConfigurationAge(now - *confirmed);
+        }
+    }
+
+    // Logs once that half of the time has passed in which a change has to be in force, and once that the host is
+    // current again.
+    void logConfigurationAge(Duration age)
+    {
+        const Duration bound = m_settings.bounds.configurationApply;
+        const bool isOld = age >= bound / 2;
+        if (std::exchange(m_isConfigurationOld, isOld) == isOld)
+            return;
+        if (isOld)
+            m_metrics.count("configuration_half_bound_passed");
+        telemetry::logEvent(isOld ? spdlog::level::warn : spdlog::level::info,
+            isOld ? "configuration_unconfirmed" : "configuration_confirmed",
+            { { "age_ms", age.count() }, { "bound_ms", bound.count() },
+                { "store_reachable", m_catalogSync.reachesStore() },
+                { "hosts_that_reach_store", m_fleetLink.hosts().storeReaders(m_clock.now()).size() } });
     }
 
     void updateSharingHosts(TimePoint now)
@@ -603,6 +646,8 @@
     TimePoint m_stateLoggedAt {};
     // Default value before the first tick.
     TimePoint m_tickDueAt {};
+    // Whether the operator's records were confirmed longer ago than half of the bound, as of the last tick.
+    bool m_isConfigurationOld = false;
     // Counters of each upstream as last reported to the other hosts.
     std::map<fleet::ShortHash, fleet::UpstreamCounters> m_lastReported;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
@@ -614,6 +659,7 @@
     const IWireCodec& codec, store::IRecordStore& store, EntrySettings settings,
     const UpstreamClientFactory& createUpstreamClient)
 {
+    BOOST_LEAF_CHECK(checkBounds(settings.bounds));
     auto host = std::make_unique<AsioEntryHost>(loop, clock, codec, store, std::move(settings), createUpstreamClient);
     BOOST_LEAF_CHECK(host->listen());
     return std::unique_ptr<EntryHost>(std::move(host));
--- a/src/entry/internal/requestflowadmission.cpp
+++ b/src/entry/internal/requestflowadmission.cpp
@@ -87,6 +87,11 @@
             catalogCurrent ? std::nullopt : std::optional(MIN_RETRY_AFTER), "no matching route", now);
         return false;
     }
+    if (m_context.host.isBehindOthers(now)) {
+        // The route may have been changed or dropped.
+        refuse(STATUS_UNAVAILABLE, MIN_RETRY_AFTER, "configuration not confirmed recently enough", now);
+        return false;
+    }
     if (!m_context.host.acceptsRequests(m_route->kind, now)) {
         respondLocally(FlowStep::Refused, STATUS_UNAVAILABLE, Duration(0), "host is draining", now);
         return false;
--- a/src/entry/internal/statuspages.cpp
+++ b/src/entry/internal/statuspages.cpp
@@ -63,6 +63,8 @@
     if (const auto confirmed = m_context.catalogSync.operatorConfirmedAt())
         metrics.set(
             "configuration_age_seconds", static_cast<double>((now - *confirmed).count()) * SECONDS_PER_MILLISECOND);
+    metrics.set("configuration_bound_seconds",
+        static_cast<double>(m_context.bounds.configurationApply.count()) * SECONDS_PER_MILLISECOND);
     metrics.set("store_reachable", m_context.catalogSync.reachesStore() ? 1 : 0);
     metrics.set("store_calls", static_cast<double>(m_context.store.calls()));
     metrics.set("exchange_layered", m_context.fleetLink.hosts().isLayered() ? 1 : 0);
--- a/src/entry/internal/statuspages.h
+++ b/src/entry/internal/statuspages.h
@@ -18,6 +18,7 @@
     struct Context {
         const IClock& clock;
         const HostId& host;
+        const ServiceBounds& bounds;
         const catalog::Catalog& catalog;
         const balancing::Balancer& balancer;
         const rollout::RolloutController& rollouts;
--- a/src/entry/tests/flowfixture.h
+++ b/src/entry/tests/flowfixture.h
@@ -58,6 +58,7 @@
     bool isCatalogLoaded() const override { return catalogLoaded; }
     bool mayAcceptKeys(TimePoint) const override { return keysAccepted; }
     bool isCatalogCurrent(TimePoint) const override { return catalogCurrent; }
+    bool isBehindOthers(TimePoint) const override { return behindOthers; }
     Duration configurationAge(TimePoint) const override { return Duration(0); }
     int sendingHostCount(TimePoint) const override { return hosts; }
     bool acceptsRequests(catalog::RouteKind, TimePoint) const override { return acceptingRequests; }
@@ -66,6 +67,7 @@
     bool catalogLoaded = true;
     bool keysAccepted = true;
     bool catalogCurrent = true;
+    bool behindOthers = false;
     bool acceptingRequests = true;
 };
 
--- a/src/entry/tests/requestflow_test.cpp
+++ b/src/entry/tests/requestflow_test.cpp
@@ -38,6 +38,20 @@
     cr_assert_eq(anonymous.actions.attempts.size(), 1, "an anonymous route is served");
 }
 
+// Guards against a request that is run by a route which may have been changed or dropped, at a host that has heard
+// nothing for longer than its bound while others have.
+Test(admission, refusesRequestsWhileConfigurationMayBeReplaced)
+{
+    Deployment it;
+    it.host.behindOthers = true;
+    for (const char* path : { "/idempotent/1", "/anonymous/1" }) {
+        FlowUnderTest flow(it, Deployment::request(path));
+        cr_assert_eq(flow.actions.localStatus, STATUS_UNAVAILABLE);
+        cr_assert(flow.actions.retryAfter.has_value());
+        cr_assert(flow.actions.attempts.empty());
+    }
+}
+
 Test(admission, upstreamReceivesWorkspaceAndRemainingTime)
 {
     Deployment it;
