The judgement of how old the configuration may be moves out of the entry host

What callers saw: nothing changes for them. Change: ConfigurationFreshness holds what depends on the time of the last confirmation (keys, 404 and 401, refusals, log and metrics); no logic changes.

--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -2,6 +2,7 @@
 
 #include "fireflyhaven/telemetry/logevent.h"
 #include "catalogsync.h"
+#include "configurationfreshness.h"
 #include "rolloutstatuswriter.h"
 #include "decisionlog.h"
 #include "fireflyhaven/common/hash.h"
@@ -36,8 +37,6 @@
 constexpr Duration HOST_USER_TIMEOUT { 700 };
 // Interval at which a summary of the host's state is logged.
 constexpr Duration STATE_LOG_INTERVAL { 5000 };
-// Keys are accepted until this long before the revocation bound expires.
-constexpr Duration REVOCATION_MARGIN { 500 };
 // New requests are accepted for this long after SIGTERM, because callers cache addresses. Streams are accepted for a
 // shorter time, because they may take longer to finish.
 constexpr Duration ACCEPT_STREAMS_AFTER_TERM { 1500 };
@@ -109,6 +108,10 @@
                              const ratelimit::PermitDecision& decision) { deliverPermit(request, decision); } })
         , m_poisonGuard(m_settings.host)
         , m_fleetLink(loop, clock, m_settings, store, *this, m_limitLink, m_poisonGuard)
+        , m_freshness({ .catalogSync = m_catalogSync,
+              .hosts = m_fleetLink.hosts(),
+              .bounds = m_settings.bounds,
+              .metrics = m_metrics })
         , m_poisonLink({ .catalog = m_catalog,
               .guard = m_poisonGuard,
               .clock = clock,
@@ -241,31 +244,10 @@
     }
 
     bool isCatalogLoaded() const override { return m_catalogSync.isLoaded(); }
-    bool mayAcceptKeys(TimePoint now) const override
-    {
-        const auto confirmed = m_catalogSync.operatorConfirmedAt();
-        const bool unlimited = !m_settings.bounds.strictRevocation && confirmed;
-        return unlimited || (confirmed && now - *confirmed < m_settings.bounds.revocation - REVOCATION_MARGIN);
-    }
-    bool isCatalogCurrent(TimePoint now) const override
-    {
-        const auto confirmed = m_catalogSync.operatorConfirmedAt();
-        return confirmed && !m_catalogSync.operatorReadsFail()
-            && now - *confirmed < m_settings.bounds.configurationApply;
-    }
-    bool isBehindOthers(TimePoint now) const override
-    {
-        const auto confirmed = m_catalogSync.operatorConfirmedAt();
-        if (confirmed && now - *confirmed < m_settings.bounds.configurationApply)
-            return false;
-        const std::vector<const fleet::KnownHost*> live = m_fleetLink.hosts().live(now);
-        return std::any_of(live.begin(), live.end(), [](const auto* it) { return it->report.reachesStore; });
-    }
-    Duration configurationAge(TimePoint now) const override
-    {
-        const auto confirmed = m_catalogSync.operatorConfirmedAt();
-        return confirmed ? now - *confirmed : Duration(-1);
-    }
+    bool mayAcceptKeys(TimePoint now) const override { return m_freshness.mayAcceptKeys(now); }
+    bool isCatalogCurrent(TimePoint now) const override { return m_freshness.isCurrent(now); }
+    bool isBehindOthers(TimePoint now) const override { return m_freshness.isBehindOthers(now); }
+    Duration configurationAge(TimePoint now) const override { return m_freshness.age(now).value_or(Duration(-1)); }
     int sendingHostCount(TimePoint now) const override { return m_fleetLink.exchange().sharingHostCount(now); }
     bool acceptsRequests(catalog::RouteKind kind, TimePoint now) const override
     {
@@ -480,7 +462,8 @@
     void tick()
     {
         const TimePoint now = m_clock.now();
-        observeDelays(now);
+        observeDelay(now);
+        m_freshness.observe(now);
         m_catalogSync.tick(now);
         m_rollouts.tick(now);
         m_balancer.expire(now);
@@ -497,32 +480,10 @@
         runAfter(m_tickTimer, TICK_INTERVAL, [this] { tick(); });
     }
 
-    // Records the delay of the event loop and the age of the operator's records.
-    void observeDelays(TimePoint now)
+    void observeDelay(TimePoint now)
     {
         if (m_tickDueAt != TimePoint {})
             m_metrics.observe("loop_delay", std::max(Duration(0), now - m_tickDueAt));
-        if (const auto confirmed = m_catalogSync.operatorConfirmedAt()) {
-            m_metrics.observe("knowledge_age", now - *confirmed);
-            logConfigurationAge(now - *confirmed);
-        }
-    }
-
-    // Logs once that half of the time has passed in which a change has to be in force, and once that the host is
-    // current again.
-    void logConfigurationAge(Duration age)
-    {
-        const Duration bound = m_settings.bounds.configurationApply;
-        const bool isOld = age >= bound / 2;
-        if (std::exchange(m_isConfigurationOld, isOld) == isOld)
-            return;
-        if (isOld)
-            m_metrics.count("configuration_half_bound_passed");
-        telemetry::logEvent(isOld ? spdlog::level::warn : spdlog::level::info,
-            isOld ? "configuration_unconfirmed" : "configuration_confirmed",
-            { { "age_ms", age.count() }, { "bound_ms", bound.count() },
-                { "store_reachable", m_catalogSync.reachesStore() },
-                { "hosts_that_reach_store", m_fleetLink.hosts().storeReaders(m_clock.now()).size() } });
     }
 
     void updateSharingHosts(TimePoint now)
@@ -619,6 +580,7 @@
     LimitLink m_limitLink;
     poison::PoisonGuard m_poisonGuard;
     FleetLink m_fleetLink;
+    ConfigurationFreshness m_freshness;
     PoisonLink m_poisonLink;
     DirectoryHostSelector m_hostSelector;
     RolloutStatusWriter m_statusWriter;
@@ -646,8 +608,6 @@
     TimePoint m_stateLoggedAt {};
     // Default value before the first tick.
     TimePoint m_tickDueAt {};
-    // Whether the operator's records were confirmed longer ago than half of the bound, as of the last tick.
-    bool m_isConfigurationOld = false;
     // Counters of each upstream as last reported to the other hosts.
     std::map<fleet::ShortHash, fleet::UpstreamCounters> m_lastReported;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
