Requests without keys are served while the store is back from a copy

After a restoration of the store no host's configuration is confirmed until the operator has written again, for up to 5 s. Each host would have refused requests without keys from config_apply_ms on, because the others reach the store too, though none of them knows better. Evidence: restored_store/openRouteIsServedUntilTheOperatorHasWrittenAgain; without the change all four hosts refuse.

--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -58,6 +58,9 @@
 
     // Time up to which the operator's records are known to be complete; no value before the first snapshot.
     std::optional<TimePoint> operatorConfirmedAt() const { return m_operatorFeed.reader.feed().confirmedAt(); }
+    // Time at which the operator's records were those that the store had, whether or not it had lost some; no value
+    // before the first snapshot.
+    std::optional<TimePoint> operatorCurrentAt() const { return m_operatorFeed.reader.feed().currentAt(); }
     // Whether the configuration and the registered upstreams have been read completely.
     bool isLoaded() const { return m_loaded; }
     bool operatorReadsFail() const { return m_operatorFeed.reader.feed().failingSince().has_value(); }
--- a/src/entry/internal/configurationfreshness.cpp
+++ b/src/entry/internal/configurationfreshness.cpp
@@ -35,8 +35,9 @@
 
 bool ConfigurationFreshness::isBehindOthers(TimePoint now) const
 {
-    const auto known = age(now);
-    if (known && *known < m_context.bounds.configurationApply)
+    // While the store is back from an older copy no host's records are confirmed, and no other host knows better.
+    const auto current = m_context.catalogSync.operatorCurrentAt();
+    if (current && now - *current < m_context.bounds.configurationApply)
         return false;
     const std::vector<const fleet::KnownHost*> live = m_context.hosts.live(now);
     return std::any_of(live.begin(), live.end(), [](const auto* it) { return it->report.reachesStore; });
--- a/src/entry/internal/configurationfreshness.h
+++ b/src/entry/internal/configurationfreshness.h
@@ -27,7 +27,7 @@
     bool mayAcceptKeys(TimePoint now) const;
     // Whether a route or key that is missing does not exist.
     bool isCurrent(TimePoint now) const;
-    // Whether the records are older than their bound although other hosts reach the store.
+    // Whether the records were read longer ago than their bound although other hosts reach the store.
     bool isBehindOthers(TimePoint now) const;
     // Records the age in the metrics and in the log.
     void observe(TimePoint now);
--- a/tests/entry/restoredstore_test.cpp
+++ b/tests/entry/restoredstore_test.cpp
@@ -82,6 +82,20 @@
     checkRevocation(*it, 6);
 }
 
+// Until the operator has written again what the store has lost, no host's configuration is confirmed. Guards against
+// hosts that all refuse requests without keys meanwhile, each because others reach the store.
+Test(restored_store, openRouteIsServedUntilTheOperatorHasWrittenAgain, .timeout = 60)
+{
+    const auto it = startDeployment(1);
+    const SharedRecords copy = it->copyOfStore();
+    it->configure(4);
+    pass(*it, SETTLING_TIME / 4);
+    it->restoreStore(copy);
+    pass(*it, SETTLING_TIME);
+    for (std::size_t n = 0; n < it->hosts.size(); ++n)
+        cr_expect(hasStatus(it->request(n, "/open/x"), STATUS_OK), "host %zu refuses", n);
+}
+
 // Guards against hosts that take the second restoration for the first one.
 Test(restored_store, keyIsRefusedAfterTwoRestorationsInARow, .timeout = 60)
 {
