--- a/review/standins-2/cases.h
+++ b/review/standins-2/cases.h
@@ -12,6 +12,6 @@
 int runEndlessTrailers(Deployment& it);
 int runOpenBodies(Deployment& it);
 int runAdditionalBytes(Deployment& it);
-int runBrittleRunners(Deployment& it);
+int runRestoredStore(Deployment& it);
 
 }
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -86,13 +86,13 @@
     m_record << elapsedMs() << " ms  " << text << std::endl;
 }
 
-void Deployment::configure(const json& routes, const json& services)
+void Deployment::configure(const json& routes, const json& services, int version, const std::vector<std::string>& keys)
 {
-    const json document { { "version", 7 }, { "routes", routes }, { "services", services },
+    const json document { { "version", version }, { "routes", routes }, { "services", services },
         { "limits",
             { { "max_header_bytes", 16384 }, { "max_body_bytes", MAX_BODY_BYTES }, { "header_timeout_ms", 3000 },
                 { "idle_timeout_ms", 15000 } } },
-        { "tenants", { { { "name", "tenant-a" }, { "api_keys", { "key-a1", "key-a2" } }, { "priority", 1 } } } } };
+        { "tenants", { { { "name", "tenant-a" }, { "api_keys", keys }, { "priority", 1 } } } } };
     m_store->put("keyed.op", "config", document.dump());
 }
 
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -36,7 +36,8 @@
     static std::string zone(int n) { return "zone-" + std::string(1, static_cast<char>('a' + n % 3)); }
 
     // Writes the operator's configuration.
-    void configure(const nlohmann::json& routes, const nlohmann::json& services);
+    void configure(const nlohmann::json& routes, const nlohmann::json& services, int version = 7,
+        const std::vector<std::string>& keys = { "key-a1", "key-a2" });
     void start();
     void startHost(int host);
     // Waits until the host answers the platform's question for its readiness with 200.
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -14,7 +14,7 @@
     constexpr int HOSTS = 3;
     const std::map<std::string, int (*)(Deployment&)> cases { { "additional-bytes", runAdditionalBytes },
         { "endless-trailers", runEndlessTrailers }, { "open-bodies", runOpenBodies },
-        { "deadly-request", runDeadlyRequest }, { "brittle-runners", runBrittleRunners } };
+        { "deadly-request", runDeadlyRequest }, { "restored-store", runRestoredStore } };
     const auto it = argc == 4 ? cases.find(argv[1]) : cases.end();
     if (it == cases.end()) {
         std::cerr << "usage: review-cases CASE ROOT FOLDER\n";
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -14,10 +14,13 @@
 constexpr std::int64_t ANSWER_MS = 4;
 constexpr std::size_t PAGE_ENTRIES = 500;
 
+// The answer but for the era, which stands in its place.
+const std::string ERA_MARK = "%ERA%";
+
 std::string response(int status, const std::string& body, const std::string& type = "application/json")
 {
-    return "HTTP/1.1 " + std::to_string(status) + " -\r\nContent-Type: " + type
-        + "\r\nStore-Era: 0\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " -\r\nContent-Type: " + type + "\r\nStore-Era: " + ERA_MARK
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 std::string bigEndian(std::uint64_t n, int bytes)
@@ -46,6 +49,10 @@
 
 }
 
+struct Store::Copy {
+    std::map<std::string, Topic> topics;
+};
+
 Store::Store(const Address& address)
     : m_server(std::make_unique<Server>(address, [this](int fd) { serve(fd); }))
 {
@@ -73,12 +80,39 @@
     Reader reader(fd);
     Message request;
     while (reader.read(request, false, nowMs() + LONG_MS) == Reader::End::Complete) {
+        if (m_away)
+            return;
+        const int era = m_era;
         sleepMs(ANSWER_MS);
-        if (!sendAll(fd, answer(request)))
+        std::string bytes = answer(request);
+        if (m_away || era != m_era)
+            return;
+        bytes.replace(bytes.find(ERA_MARK), ERA_MARK.size(), std::to_string(era));
+        if (!sendAll(fd, bytes))
             return;
     }
 }
 
+std::shared_ptr<const Store::Copy> Store::copy()
+{
+    const std::lock_guard lock(m_mutex);
+    return std::make_shared<const Copy>(Copy { m_topics });
+}
+
+void Store::restore(const std::shared_ptr<const Copy>& copy, std::int64_t awayMs)
+{
+    m_away = true;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_changed.notify_all();
+    }
+    sleepMs(awayMs);
+    const std::lock_guard lock(m_mutex);
+    m_topics = copy->topics;
+    ++m_era;
+    m_away = false;
+}
+
 std::string Store::answer(const Message& request)
 {
     if (request.path() == "/fireflyhaven/log-append")
@@ -132,7 +166,9 @@
     if (from > topic.records.size())
         return response(410, R"({"first_offset":0})");
     const auto wait = std::chrono::milliseconds(numberOf(request.parameter("wait_ms")));
-    m_changed.wait_for(lock, wait, [&] { return topic.records.size() > from; });
+    m_changed.wait_for(lock, wait, [&] { return topic.records.size() > from || m_away; });
+    if (m_away || from > topic.records.size())
+        return response(503, {});
     std::string body = bigEndian(topic.records.size(), 8) + bigEndian(0, 8);
     for (std::size_t n = from; n < topic.records.size(); ++n) {
         const Record& it = topic.records[n];
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -2,6 +2,7 @@
 
 #include "http.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <memory>
@@ -17,6 +18,12 @@
     // Drops the key.
     void drop(const std::string& topic, const std::string& key) { put(topic, key, {}); }
 
+    // What the store holds, for a drill.
+    struct Copy;
+    std::shared_ptr<const Copy> copy();
+    // The store is away for that long, and then comes back from the copy, in a new era.
+    void restore(const std::shared_ptr<const Copy>& copy, std::int64_t awayMs);
+
 private:
     struct Record {
         std::string key;
@@ -35,6 +42,7 @@
     };
 
     void serve(int fd);
+    // The answer to one call; empty if the store went away meanwhile.
     std::string answer(const Message& request);
     std::string append(const Message& request);
     std::string readRecords(const Message& request);
@@ -44,6 +52,8 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, Topic> m_topics;
+    std::atomic<bool> m_away = false;
+    std::atomic<int> m_era = 0;
     std::unique_ptr<Server> m_server;
 };
 
