--- a/review/standins-2/cases.h
+++ b/review/standins-2/cases.h
@@ -9,8 +9,9 @@
 constexpr int BROKEN = 1;
 
 int runDeadlyRequest(Deployment& it);
-int runSlowReader(Deployment& it);
-int runLargeBodies(Deployment& it);
-int runLateCopy(Deployment& it);
+int runEndlessTrailers(Deployment& it);
+int runOpenBodies(Deployment& it);
+int runAdditionalBytes(Deployment& it);
+int runBrittleRunners(Deployment& it);
 
 }
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -12,8 +12,9 @@
 {
     constexpr int COULD_NOT_RUN = 2;
     constexpr int HOSTS = 3;
-    const std::map<std::string, int (*)(Deployment&)> cases { { "deadly-request", runDeadlyRequest },
-        { "slow-reader", runSlowReader }, { "large-bodies", runLargeBodies }, { "late-copy", runLateCopy } };
+    const std::map<std::string, int (*)(Deployment&)> cases { { "additional-bytes", runAdditionalBytes },
+        { "endless-trailers", runEndlessTrailers }, { "open-bodies", runOpenBodies },
+        { "deadly-request", runDeadlyRequest }, { "brittle-runners", runBrittleRunners } };
     const auto it = argc == 4 ? cases.find(argv[1]) : cases.end();
     if (it == cases.end()) {
         std::cerr << "usage: review-cases CASE ROOT FOLDER\n";
