A host that starts takes the store for whole only by what the store or other hosts know of its era

The same cause on related paths: all hosts that start, hosts that start one after the other, a host that was cut off and finds a copy as old as itself, the third host behind one that reads from a restoring host.

The host that reads the store for the others records there which era is settled; a copy never holds the record of its own era.

restoration_test: the flag isRestoring became a state of three values; the checks are the same. The feed of its first era and the hosts of the fixture's constructor are those of a first start now.

--- a/include/fireflyhaven/store/keyedfeed.h
+++ b/include/fireflyhaven/store/keyedfeed.h
@@ -44,7 +44,8 @@
 // Follows a keyed topic: reads a snapshot of the newest records, then tails the topic from the snapshot's offset. Reads
 // a new snapshot where the store has already deleted the next records, or has come back from an older copy. In the
 // latter case reads confirm nothing until what the store has lost was written again, and a second snapshot then drops
-// what was not. Does no I/O.
+// what was not. The first snapshot of all may be such a copy too: it is unverified until the feed learns that its era
+// is settled, takes the records of a host that knows more, or has waited for as long. Does no I/O.
 class KeyedFeed {
 public:
     explicit KeyedFeed(FeedOptions options);
@@ -62,8 +63,18 @@
     void onFailed(StoreError error, TimePoint now);
     // Whether an answer of this era is older than what was read before. Such an answer counts as a failed read.
     bool isBehind(const std::optional<Era>& era) const { return m_era && era && *era < *m_era; }
-    // What the store has lost of this topic was written again.
-    void onWrittenAgain() { m_isRestoring = false; }
+    // The first snapshot cannot be an older copy, because nothing was written to the store before.
+    void trustFirstSnapshot() { m_trustsFirstSnapshot = true; }
+    // What the store has lost of this topic was written again, as far as this feed knows what was lost.
+    void onWrittenAgain();
+    // A copy of the store has nothing older than this feed, which may however have missed what the store has lost.
+    void onNothingKnownLost();
+    // The era is settled. The next read, which becomes due at once, confirms the records of a feed that was unverified;
+    // the answer to a read in flight is not awaited any longer. Returns whether that is so.
+    bool onEraSettled(Era era, TimePoint now);
+    // Takes the snapshot of a host that knows the era or an earlier one in place of this feed's unverified records. The
+    // answer to a read in flight is not awaited any longer.
+    FeedUpdate adopt(const SnapshotPage& page, TimePoint now);
     // Makes the next request due at once.
     void scheduleNow(TimePoint now);
 
@@ -72,8 +83,12 @@
     // The records are those that the store had at this time, whether or not it had lost some; no value before the first
     // snapshot.
     std::optional<TimePoint> currentAt() const { return m_currentAt; }
-    // Whether it is not known yet that what the store has lost was written again.
-    bool isRestoring() const { return m_isRestoring; }
+    // What this feed can tell other hosts of its records. They are settled once a read has confirmed them.
+    EraState eraState() const;
+    // Whether the feed has only what the store had in an era of which it does not know more.
+    bool isUnverified() const { return m_eraState == EraState::Unverified; }
+    // Whether the next read is to confirm the records without waiting for new ones.
+    bool isConfirmationDue() const { return m_isConfirmationDue; }
     // Start of the first of the consecutive failed reads; no value where the last read succeeded.
     std::optional<TimePoint> failingSince() const { return m_failingSince; }
     std::uint64_t offset() const { return m_offset; }
@@ -81,9 +96,16 @@
 
 private:
     void onSucceeded(TimePoint now);
-    // The source had the records at this time.
-    void onCurrent(TimePoint at, bool sourceIsRestoring);
+    // The source, which knows this of the era, had the records at this time.
+    void onCurrent(TimePoint at, EraState source);
     void startSnapshot(TimePoint now);
+    // A snapshot that begins an era for this feed; returns whether it is the copy of an era that the feed knows more
+    // of.
+    bool beginEra(const SnapshotPage& page, TimePoint now);
+    // Takes over what the source of all of this feed's records knows of their era.
+    void takeEraState(EraState source, TimePoint now);
+    // Confirms nothing until `onWrittenAgain`, or until lost records have had their time.
+    void awaitRewrite(EraState state, TimePoint now);
     // Ends the time after a restoration in which lost records may still be written again.
     void endRestoration(TimePoint now);
 
@@ -98,7 +120,12 @@
     Duration m_backoff {};
     std::uint64_t m_offset = 0;
     std::optional<Era> m_era;
-    bool m_isRestoring = false;
+    // Settled, restoring or unverified.
+    EraState m_eraState = EraState::Settled;
+    bool m_trustsFirstSnapshot = false;
+    bool m_isConfirmationDue = false;
+    // Reads of before this time confirm nothing.
+    TimePoint m_settledAt {};
     // When the first snapshot of a new era was complete, until the second one is read.
     std::optional<TimePoint> m_restoredAt;
     // Snapshot in progress: the key after which its next page begins, its start, and the records received so far.
--- a/include/fireflyhaven/store/topicreader.h
+++ b/include/fireflyhaven/store/topicreader.h
@@ -53,7 +53,12 @@
     void onFailed(const TopicRead& read, StoreError error, const ReadContext& context);
 
     const KeyedFeed& feed() const { return m_feed; }
+    // As the functions of the feed.
+    void trustFirstSnapshot() { m_feed.trustFirstSnapshot(); }
     void onWrittenAgain() { m_feed.onWrittenAgain(); }
+    void onNothingKnownLost() { m_feed.onNothingKnownLost(); }
+    bool onEraSettled(Era era, TimePoint now) { return m_feed.onEraSettled(era, now); }
+    FeedUpdate adopt(const SnapshotPage& page, TimePoint now) { return m_feed.adopt(page, now); }
 
 private:
     bool readsOverTwoHops(const ReadContext& context) const { return context.hosts && context.hosts->isLayered(); }
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -12,6 +12,8 @@
 constexpr Duration REREGISTRATION_GRACE { 2300 };
 // An event loop that handles a timer this late may not have read yet what has arrived meanwhile.
 constexpr Duration LATE_LOOP { 50 };
+// A host that has started holds its first requests for this long until its records are confirmed.
+constexpr Duration CONFIRMATION_WAIT { 500 };
 
 template <typename... Handlers> struct Overloaded : Handlers... {
     using Handlers::operator()...;
@@ -29,6 +31,8 @@
         return "status";
     case store::Topic::Hosts:
         return "hosts";
+    case store::Topic::Eras:
+        return "eras";
     }
     return "";
 }
@@ -51,7 +55,16 @@
     , m_operatorFeed(makeFeed(store::Topic::Operator))
     , m_upstreamFeed(makeFeed(store::Topic::Upstreams))
     , m_statusFeed(makeFeed(store::Topic::Status))
+    , m_verifier({ .clock = m_context.clock,
+          .store = m_context.store,
+          .relayClient = m_relayClient,
+          .hosts = m_context.hosts,
+          .delegate = *this })
 {
+    if (!m_context.settings.bootstrap)
+        return;
+    for (Feed* feed : { &m_operatorFeed, &m_upstreamFeed, &m_statusFeed })
+        feed->reader.trustFirstSnapshot();
 }
 
 CatalogSync::Feed CatalogSync::makeFeed(store::Topic topic)
@@ -86,6 +99,9 @@
 
 void CatalogSync::tick(TimePoint now)
 {
+    m_verifier.advance();
+    logVerification();
+    checkLoaded();
     for (const UpstreamId& id : m_context.catalog.removeExpired(now)) {
         telemetry::logEvent(spdlog::level::info, "upstream_gone",
             { { "upstream", id.value() }, { "reason", "not registered again after the store outage" } });
@@ -131,6 +147,8 @@
         } else {
             onReadSucceeded(feed, { .host = read.source, .age = outcome.value->sourceAge });
             onValue(*outcome.value);
+            logVerification();
+            m_verifier.advance();
             checkLoaded();
         }
         advance(feed);
@@ -139,13 +157,88 @@
 
 void CatalogSync::checkLoaded()
 {
-    const bool complete = m_operatorFeed.reader.feed().confirmedAt() && m_upstreamFeed.reader.feed().confirmedAt();
-    if (m_loaded || !complete || !m_context.catalog.hasConfiguration())
+    const bool isRead = m_operatorFeed.reader.feed().currentAt() && m_upstreamFeed.reader.feed().currentAt();
+    if (m_loaded || !isRead || !m_context.catalog.hasConfiguration())
+        return;
+    const TimePoint now = m_context.clock.now();
+    if (!m_readAt)
+        m_readAt = now;
+    if (!m_operatorFeed.reader.feed().confirmedAt() && now - *m_readAt < CONFIRMATION_WAIT)
         return;
     m_loaded = true;
     m_context.listener.onCatalogLoaded();
 }
 
+void CatalogSync::abandonRead(Feed& feed)
+{
+    ++feed.reads;
+    feed.timeoutTimer.cancel();
+    if (const auto call = std::exchange(feed.relayCall, std::nullopt))
+        m_relayClient.cancel(*call);
+}
+
+void CatalogSync::logVerification()
+{
+    for (Feed* feed : { &m_operatorFeed, &m_upstreamFeed, &m_statusFeed }) {
+        const bool isUnverified = feed->reader.feed().isUnverified();
+        if (std::exchange(feed->isLoggedAsUnverified, isUnverified) == isUnverified)
+            continue;
+        const auto era = feed->reader.feed().era();
+        telemetry::logEvent(isUnverified ? spdlog::level::warn : spdlog::level::info,
+            isUnverified ? "records_unverified" : "records_verified",
+            { { "topic", topicName(feed->topic) }, { "era", era ? era->value() : 0 },
+                { "from", feed->origin.name() } });
+    }
+}
+
+std::vector<store::Topic> CatalogSync::unverifiedTopics() const
+{
+    std::vector<store::Topic> topics;
+    for (const Feed* feed : { &m_operatorFeed, &m_upstreamFeed, &m_statusFeed }) {
+        if (feed->reader.feed().isUnverified())
+            topics.push_back(feed->topic);
+    }
+    return topics;
+}
+
+std::optional<store::Era> CatalogSync::settledEra() const
+{
+    const auto era = storeEra();
+    for (const Feed* feed : { &m_operatorFeed, &m_upstreamFeed, &m_statusFeed }) {
+        const store::KeyedFeed& it = feed->reader.feed();
+        const bool isSettled = it.currentAt() && it.eraState() == store::EraState::Settled && it.era() == era;
+        if (!isSettled || feed->origin.host)
+            return std::nullopt;
+    }
+    return era;
+}
+
+void CatalogSync::onEraSettled(store::Era era)
+{
+    for (Feed* feed : { &m_operatorFeed, &m_upstreamFeed, &m_statusFeed }) {
+        if (!feed->reader.onEraSettled(era, m_context.clock.now()))
+            continue;
+        abandonRead(*feed);
+        advance(*feed);
+    }
+}
+
+void CatalogSync::onVerifiedSnapshot(store::Topic topic, const store::SnapshotPage& page, const HostId& from)
+{
+    for (Feed* feed : { &m_operatorFeed, &m_upstreamFeed, &m_statusFeed }) {
+        // A host that has not been current for long may know less than the copy.
+        const bool isOld = page.sourceAge > readContext().timing.bound(topic);
+        if (feed->topic != topic || !feed->reader.feed().isUnverified() || !page.era || isOld)
+            continue;
+        abandonRead(*feed);
+        onReadSucceeded(*feed, { .host = from, .age = page.sourceAge });
+        applyUpdate(*feed, feed->reader.adopt(page, m_context.clock.now()));
+        logVerification();
+        checkLoaded();
+        advance(*feed);
+    }
+}
+
 void CatalogSync::startRead(Feed& feed, const store::TopicRead& read)
 {
     const std::uint64_t number = ++feed.reads;
@@ -172,7 +265,7 @@
         return;
     }
     const http::Endpoint host = m_context.hosts()->hosts().at(*read.source).peerAddress;
-    feed.relayCall = snapshot ? m_relayClient.readNewest(host, feed.topic, progress, onPage)
+    feed.relayCall = snapshot ? m_relayClient.readNewest(host, feed.topic, SnapshotKind::Any, progress, onPage)
                               : m_relayClient.read(host, feed.topic, request, progress, onBatch);
 }
 
@@ -253,6 +346,7 @@
 
 void CatalogSync::applyUpdate(Feed& feed, store::FeedUpdate update)
 {
+    feed.mayHaveMissedRecords = update.isRestored && mayHaveMissedRecords(feed);
     if (update.isRestored) {
         keepNewerThan(feed, update);
     } else if (update.replacesAll) {
@@ -286,6 +380,12 @@
         m_context.listener.onStoreRestored();
 }
 
+bool CatalogSync::mayHaveMissedRecords(const Feed& feed) const
+{
+    const auto confirmed = feed.reader.feed().confirmedAt();
+    return !confirmed || m_context.clock.now() - *confirmed > readContext().timing.bound(feed.topic);
+}
+
 bool CatalogSync::isNewer(const Feed& feed, const store::KeyedRecord& record) const
 {
     if (!feed.keys.contains(record.key))
@@ -319,7 +419,7 @@
 {
     catalog::Catalog& catalog = m_context.catalog;
     if (configuration.version >= catalog.version())
-        feed.reader.onWrittenAgain();
+        feed.mayHaveMissedRecords ? feed.reader.onNothingKnownLost() : feed.reader.onWrittenAgain();
     if (catalog.onConfiguration(std::move(configuration)) != catalog::ConfigurationChange::Applied)
         return;
     telemetry::logEvent(spdlog::level::info, "configuration_applied",
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -6,6 +6,7 @@
 #include "fireflyhaven/store/knownkeys.h"
 #include "fireflyhaven/store/recordstore.h"
 #include "fireflyhaven/store/topicreader.h"
+#include "eraverifier.h"
 #include "peerrelay.h"
 
 namespace fireflyhaven::entry {
@@ -44,16 +45,16 @@
 
 // Keeps the catalog up to date. Reads the store's records either directly or from another host that has read them, and
 // serves them to other hosts.
-class CatalogSync {
+class CatalogSync : private IEraDelegate {
 public:
     explicit CatalogSync(CatalogSyncContext context);
     CatalogSync(const CatalogSync&) = delete;
     CatalogSync& operator=(const CatalogSync&) = delete;
-    ~CatalogSync();
+    ~CatalogSync() override;
 
     Result<void> listen(const http::Endpoint& relayAddress);
     void start();
-    // Removes upstreams whose lapsed registrations were not renewed in time.
+    // Removes upstreams whose lapsed registrations were not renewed in time, and verifies the records.
     void tick(TimePoint now);
 
     // Time up to which the operator's records are known to be complete; no value before the first snapshot.
@@ -61,7 +62,8 @@
     // Time at which the operator's records were those that the store had, whether or not it had lost some; no value
     // before the first snapshot.
     std::optional<TimePoint> operatorCurrentAt() const { return m_operatorFeed.reader.feed().currentAt(); }
-    // Whether the configuration and the registered upstreams have been read completely.
+    // Whether the configuration and the registered upstreams have been read completely, and are confirmed or can't be
+    // soon.
     bool isLoaded() const { return m_loaded; }
     bool operatorReadsFail() const { return m_operatorFeed.reader.feed().failingSince().has_value(); }
     bool reachesStore() const { return m_sourceSelector.reachesStore(); }
@@ -103,6 +105,10 @@
         std::optional<TimePoint> failedSince;
         // Where the records that are being applied come from, for the log.
         ReadOrigin origin;
+        // The records that are being applied are a copy of the store, and this host was not current shortly before.
+        bool mayHaveMissedRecords = false;
+        // Whether the records were unverified when that was last logged.
+        bool isLoggedAsUnverified = false;
     };
 
     Feed makeFeed(store::Topic topic);
@@ -120,6 +126,13 @@
     void onReadSucceeded(Feed& feed, ReadOrigin origin);
     void applyUpdate(Feed& feed, store::FeedUpdate update);
     void checkLoaded();
+    // Gives up the read under way; the caller makes the feed due again.
+    void abandonRead(Feed& feed);
+    void logVerification();
+    std::vector<store::Topic> unverifiedTopics() const override;
+    std::optional<store::Era> settledEra() const override;
+    void onEraSettled(store::Era era) override;
+    void onVerifiedSnapshot(store::Topic topic, const store::SnapshotPage& page, const HostId& from) override;
     // Prepares the first snapshot of a new era: leaves out the records of the copy that this host has newer, and keeps
     // what the copy lacks.
     void keepNewerThan(Feed& feed, store::FeedUpdate& copy);
@@ -128,6 +141,8 @@
     // Returns whether the record may have changed anything.
     bool applyRecord(Feed& feed, const store::KeyedRecord& record);
     void applyOperatorRecord(Feed& feed, const store::KeyedRecord& record);
+    // Whether the store may have lost records that this host has never read.
+    bool mayHaveMissedRecords(const Feed& feed) const;
     void applyConfiguration(Feed& feed, catalog::Configuration configuration);
     bool applyUpstreamRecord(const store::KeyedRecord& record);
     bool isAfterOutage(const Feed& feed) const;
@@ -140,8 +155,11 @@
     Feed m_operatorFeed;
     Feed m_upstreamFeed;
     Feed m_statusFeed;
+    EraVerifier m_verifier;
     bool m_storeLost = false;
     bool m_loaded = false;
+    // When the configuration and the registered upstreams had been read, confirmed or not.
+    std::optional<TimePoint> m_readAt;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/entry/internal/peerrelay.cpp
+++ b/src/entry/internal/peerrelay.cpp
@@ -41,12 +41,28 @@
     bool isRestoring = false;
     // Only in the answers to requests that ask for packed records; these are not among `records`.
     std::vector<PackedRecord> packedRecords;
+    // Not in the answers of older builds, which end before it. Unverified records are restoring too, for older builds.
+    bool isUnverified = false;
 
     template <typename Archive> void serialize(Archive& archive) { archive(offset, ageMs, heldMs, records); }
     template <typename Archive> void serializeEra(Archive& archive) { archive(era, isRestoring); }
     template <typename Archive> void serializePacked(Archive& archive) { archive(packedRecords); }
+    template <typename Archive> void serializeVerification(Archive& archive) { archive(isUnverified); }
 
     std::optional<store::Era> storeEra() const { return era ? std::optional(store::Era(*era)) : std::nullopt; }
+    store::EraState eraState() const
+    {
+        if (!era)
+            return store::EraState::Untold;
+        if (isUnverified)
+            return store::EraState::Unverified;
+        return isRestoring ? store::EraState::Restoring : store::EraState::Settled;
+    }
+    void setEraState(store::EraState state)
+    {
+        isRestoring = state != store::EraState::Settled;
+        isUnverified = state == store::EraState::Unverified;
+    }
 };
 
 std::string encode(const RelayAnswer& answer)
@@ -57,8 +73,8 @@
         archive(answer);
         RelayAnswer trailer(answer);
         trailer.serializeEra(archive);
-        if (!trailer.packedRecords.empty())
-            trailer.serializePacked(archive);
+        trailer.serializePacked(archive);
+        trailer.serializeVerification(archive);
     }
     return std::move(out).str();
 }
@@ -89,6 +105,8 @@
             answer.serializeEra(archive);
         if (!isAtEnd(in))
             answer.serializePacked(archive);
+        if (!isAtEnd(in))
+            answer.serializeVerification(archive);
         return unpackRecords(answer) ? std::optional(std::move(answer)) : std::nullopt;
     } catch (const std::exception&) {
         return std::nullopt;
@@ -118,6 +136,9 @@
 // Not in the requests of older builds, which cannot read packed records.
 bool acceptsPacked(const std::string& target) { return numberParameter(target, "packed") == 1; }
 
+// Only in the requests of hosts whose own records are unverified.
+bool asksForVerified(const std::string& target) { return numberParameter(target, "verified") == 1; }
+
 std::optional<std::uint64_t> numberOf(std::optional<store::Era> era)
 {
     return era ? std::optional(era->value()) : std::nullopt;
@@ -155,6 +176,8 @@
     const std::string_view path = http::pathOf(target);
     if (!topic || (path != READ_PATH && path != NEWEST_PATH))
         return exchange->sendResponse({ .status = STATUS_NOT_FOUND }, {});
+    if (path == NEWEST_PATH && asksForVerified(target) && eraState(*topic) == store::EraState::Unverified)
+        return exchange->sendResponse({ .status = STATUS_UNAVAILABLE }, {});
     if (path == NEWEST_PATH)
         return answerNewest(*exchange, *topic, acceptsPacked(target));
     const Duration wait = std::min(MAX_WAIT, Duration(numberParameter(target, "wait").value_or(0)));
@@ -220,10 +243,10 @@
     return current ? m_clock.now() - *current : UNKNOWN_AGE;
 }
 
-bool RelayServer::isRestoring(store::Topic topic) const
+store::EraState RelayServer::eraState(store::Topic topic) const
 {
     const store::KeyedFeed* feed = m_feedOf(topic);
-    return feed && feed->isRestoring();
+    return feed ? feed->eraState() : store::EraState::Unverified;
 }
 
 void RelayServer::answerRead(const PendingRead& pending)
@@ -235,8 +258,8 @@
         .offset = batch->nextOffset,
         .ageMs = static_cast<std::uint32_t>(age(pending.topic).count()),
         .heldMs = static_cast<std::uint32_t>((m_clock.now() - pending.read.receivedAt).count()),
-        .era = numberOf(batch->era),
-        .isRestoring = isRestoring(pending.topic) };
+        .era = numberOf(batch->era) };
+    answer.setEraState(eraState(pending.topic));
     if (pending.acceptsPacked)
         answer.packedRecords = packLargeRecords(answer.records);
     pending.exchange->sendResponse({ .status = STATUS_OK }, encode(answer));
@@ -263,8 +286,8 @@
     RelayAnswer answer { .records = std::move(page->records),
         .offset = page->endOffset,
         .ageMs = static_cast<std::uint32_t>(age(topic).count()),
-        .era = numberOf(page->era),
-        .isRestoring = isRestoring(topic) };
+        .era = numberOf(page->era) };
+    answer.setEraState(eraState(topic));
     if (acceptsPacked)
         answer.packedRecords = packLargeRecords(answer.records);
     exchange.sendResponse({ .status = STATUS_OK }, encode(answer));
@@ -367,16 +390,18 @@
         done({ .value = store::RecordBatch { .records = std::move(answer->records),
                    .nextOffset = answer->offset,
                    .era = answer->storeEra(),
-                   .isRestoring = answer->isRestoring,
+                   .eraState = answer->eraState(),
                    .sourceAge = Duration(answer->ageMs),
                    .heldFor = Duration(answer->heldMs) } });
     });
 }
 
-RelayCallId RelayClient::readNewest(const http::Endpoint& host, store::Topic topic, store::OnProgress progress,
-    store::OnOutcome<store::SnapshotPage> done)
+RelayCallId RelayClient::readNewest(const http::Endpoint& host, store::Topic topic, SnapshotKind kind,
+    store::OnProgress progress, store::OnOutcome<store::SnapshotPage> done)
 {
     std::string target = fmt::format("{}?topic={}&packed=1", NEWEST_PATH, static_cast<int>(topic));
+    if (kind == SnapshotKind::Verified)
+        target += "&verified=1";
     return call(host, std::move(target), std::move(progress), [done = std::move(done)](const auto& raw) {
         if (!raw.value)
             return done(store::Outcome<store::SnapshotPage>::failed(raw.error, raw.reason));
@@ -387,7 +412,7 @@
         store::SnapshotPage page { .records = std::move(answer->records),
             .endOffset = answer->offset,
             .era = answer->storeEra(),
-            .isRestoring = answer->isRestoring };
+            .eraState = answer->eraState() };
         page.sourceAge = Duration(answer->ageMs);
         done({ .value = std::move(page) });
     });
--- a/src/entry/internal/peerrelay.h
+++ b/src/entry/internal/peerrelay.h
@@ -44,7 +44,7 @@
     bool isAnswerDue(const PendingRead& pending) const;
     void answerPendingReads();
     Duration age(store::Topic topic) const;
-    bool isRestoring(store::Topic topic) const;
+    store::EraState eraState(store::Topic topic) const;
 
     boost::asio::io_context& m_loop;
     const IClock& m_clock;
@@ -60,6 +60,13 @@
 // Identifies a call of a relay client.
 using RelayCallId = StrongNumber<struct RelayCallTag>;
 
+// Which snapshots of a host count.
+enum class SnapshotKind {
+    Any,
+    // Not one that is unverified; a host that has no other answers that it has none.
+    Verified,
+};
+
 // Reads records of the store through another host's relay server. The caller ends the calls that take too long.
 class RelayClient {
 public:
@@ -68,8 +75,8 @@
 
     RelayCallId read(const http::Endpoint& host, store::Topic topic, const store::FeedRequest& request,
         store::OnProgress progress, store::OnOutcome<store::RecordBatch> done);
-    RelayCallId readNewest(const http::Endpoint& host, store::Topic topic, store::OnProgress progress,
-        store::OnOutcome<store::SnapshotPage> done);
+    RelayCallId readNewest(const http::Endpoint& host, store::Topic topic, SnapshotKind kind,
+        store::OnProgress progress, store::OnOutcome<store::SnapshotPage> done);
     // Ends a call whose answer is not awaited any longer; its outcome is not reported.
     void cancel(RelayCallId call);
 
--- a/src/entry/tests/peerrelay_test.cpp
+++ b/src/entry/tests/peerrelay_test.cpp
@@ -13,13 +13,15 @@
 
 // A host that has read one large and one small record, on a loopback address.
 struct Source {
-    Source()
+    // The records are of this era; without one the store does not tell it.
+    explicit Source(std::optional<store::Era> era = std::nullopt)
         : server(loop.io(), loop.clock(), [this](store::Topic) { return &feed; })
         , address(loop.freeEndpoint(http::test::uniqueLoopbackIp()))
     {
-        const store::SnapshotPage page {
-            .records = { { .key = "config", .value = LARGE_VALUE }, { .key = "small", .value = "1" } }, .endOffset = 7
-        };
+        const store::SnapshotPage page { .records
+            = { { .key = "config", .value = LARGE_VALUE }, { .key = "small", .value = "1" } },
+            .endOffset = 7,
+            .era = era };
         feed.poll(loop.clock().now());
         const store::FeedUpdate update = *feed.onPage(page, loop.clock().now());
         cr_assert(server.listen(address));
@@ -41,7 +43,7 @@
     std::optional<store::SnapshotPage> page;
     std::size_t received = 0;
     client.readNewest(
-        source.address, store::Topic::Operator, [&](std::size_t bytes) { received = bytes; },
+        source.address, store::Topic::Operator, SnapshotKind::Any, [&](std::size_t bytes) { received = bytes; },
         [&](const auto& outcome) { page = outcome.value; });
     source.loop.runUntil([&] { return page.has_value(); }, "the answer has arrived");
     std::map<std::string, std::string> values;
@@ -73,8 +75,37 @@
     RelayClient client(source.loop.io(), source.loop.clock());
     bool reported = false;
     const RelayCallId call = client.readNewest(
-        source.address, store::Topic::Operator, [](std::size_t) {}, [&](const auto&) { reported = true; });
+        source.address, store::Topic::Operator, SnapshotKind::Any, [](std::size_t) {},
+        [&](const auto&) { reported = true; });
     client.cancel(call);
     source.loop.runPending();
     cr_assert_not(reported);
 }
+
+// A host that has started asks for verified records, and this one has only the store's own. Guards against hosts that
+// verify each other's copies.
+Test(peerRelay, unverifiedHostRefusesToVerify)
+{
+    Source source(store::Era(2));
+    RelayClient client(source.loop.io(), source.loop.clock());
+    std::optional<store::Outcome<store::SnapshotPage>> verified;
+    std::optional<store::Outcome<store::SnapshotPage>> any;
+    client.readNewest(
+        source.address, store::Topic::Operator, SnapshotKind::Verified, [](std::size_t) {},
+        [&](const auto& outcome) { verified = outcome; });
+    client.readNewest(
+        source.address, store::Topic::Operator, SnapshotKind::Any, [](std::size_t) {},
+        [&](const auto& outcome) { any = outcome; });
+    source.loop.runUntil([&] { return verified && any; }, "both answers have arrived");
+    cr_assert(!verified->value && any->value);
+    cr_assert(any->value->eraState == store::EraState::Unverified && any->value->era == store::Era(2));
+    source.feed.onEraSettled(store::Era(2), source.loop.clock().now());
+    source.feed.poll(source.loop.clock().now());
+    source.feed.onRecords({ .nextOffset = 7, .era = store::Era(2) }, source.loop.clock().now());
+    verified.reset();
+    client.readNewest(
+        source.address, store::Topic::Operator, SnapshotKind::Verified, [](std::size_t) {},
+        [&](const auto& outcome) { verified = outcome; });
+    source.loop.runUntil([&] { return verified.has_value(); }, "the answer has arrived");
+    cr_assert(verified->value && verified->value->eraState == store::EraState::Settled);
+}
--- a/src/store/internal/keyedfeed.cpp
+++ b/src/store/internal/keyedfeed.cpp
@@ -21,6 +21,7 @@
         return std::nullopt;
     m_requestInFlight = true;
     m_requestedAt = now;
+    m_isConfirmationDue = false;
     endRestoration(now);
     const bool limitsTail = m_options.maxTailAge > Duration(0) && m_currentAt;
     if (m_tailing && limitsTail && now - *m_currentAt > m_options.maxTailAge)
@@ -61,15 +62,25 @@
         return std::nullopt;
     }
     m_tailing = true;
+    const bool isRestored = beginEra(page, now);
+    onCurrent(m_snapshotStartedAt - page.sourceAge, page.eraState);
+    return FeedUpdate { .replacesAll = true, .records = std::move(m_snapshotRecords), .isRestored = isRestored };
+}
+
+bool KeyedFeed::beginEra(const SnapshotPage& page, TimePoint now)
+{
+    const bool isFirst = !m_currentAt;
     const bool isRestored = m_era && m_snapshotEra && *m_snapshotEra > *m_era;
     if (m_snapshotEra)
         m_era = m_snapshotEra;
-    if (isRestored) {
-        m_isRestoring = true;
-        m_restoredAt = now;
-    }
-    onCurrent(m_snapshotStartedAt - page.sourceAge, page.isRestoring);
-    return FeedUpdate { .replacesAll = true, .records = std::move(m_snapshotRecords), .isRestored = isRestored };
+    const bool sourceKnowsMore = page.eraState == EraState::Settled || page.eraState == EraState::Restoring;
+    if (sourceKnowsMore && (isFirst || isUnverified()))
+        takeEraState(page.eraState, now);
+    else if (isFirst && m_era && !m_trustsFirstSnapshot)
+        awaitRewrite(EraState::Unverified, now);
+    else if (isRestored)
+        awaitRewrite(isUnverified() ? EraState::Unverified : EraState::Restoring, now);
+    return isRestored;
 }
 
 FeedUpdate KeyedFeed::onRecords(const RecordBatch& batch, TimePoint now)
@@ -84,18 +95,81 @@
     m_offset = std::max(m_offset, batch.nextOffset);
     // Earliest time at which the source can have answered; the transfer time of the answer is not known.
     const TimePoint answeredAt = std::min(now, m_requestedAt + batch.heldFor);
-    onCurrent(answeredAt - batch.sourceAge, batch.isRestoring);
+    // A source that is settled has passed on all that was written again.
+    if (isUnverified() && batch.eraState == EraState::Settled)
+        m_eraState = EraState::Settled;
+    onCurrent(answeredAt - batch.sourceAge, batch.eraState);
     onSucceeded(now);
     return { .replacesAll = false, .records = batch.records };
 }
 
-void KeyedFeed::onCurrent(TimePoint at, bool sourceIsRestoring)
+FeedUpdate KeyedFeed::adopt(const SnapshotPage& page, TimePoint now)
+{
+    onSucceeded(now);
+    m_continueAfter.reset();
+    m_tailing = true;
+    m_offset = page.endOffset;
+    m_era = page.era;
+    takeEraState(page.eraState, now);
+    onCurrent(now - page.sourceAge, page.eraState);
+    return { .replacesAll = true, .records = page.records };
+}
+
+bool KeyedFeed::onEraSettled(Era era, TimePoint now)
+{
+    if (!isUnverified() || m_era != era)
+        return false;
+    m_eraState = EraState::Settled;
+    m_restoredAt.reset();
+    m_settledAt = now;
+    m_isConfirmationDue = true;
+    m_requestInFlight = false;
+    m_dueAt = now;
+    return true;
+}
+
+void KeyedFeed::onWrittenAgain()
+{
+    if (m_eraState == EraState::Restoring)
+        m_eraState = EraState::Settled;
+}
+
+void KeyedFeed::onNothingKnownLost()
+{
+    if (m_eraState == EraState::Restoring)
+        m_eraState = EraState::Unverified;
+}
+
+EraState KeyedFeed::eraState() const
+{
+    if (m_eraState != EraState::Settled)
+        return m_eraState;
+    return m_confirmedAt == m_currentAt ? EraState::Settled : EraState::Restoring;
+}
+
+void KeyedFeed::onCurrent(TimePoint at, EraState source)
 {
     m_currentAt = std::max(m_currentAt.value_or(TimePoint {}), at);
-    if (!m_isRestoring && !sourceIsRestoring)
+    // A feed that is settled needs no word on the era from its source, but one that misses records tells so.
+    const bool confirms = m_eraState == EraState::Settled && source != EraState::Restoring && at >= m_settledAt;
+    if (confirms)
         m_confirmedAt = std::max(m_confirmedAt.value_or(TimePoint {}), at);
 }
 
+void KeyedFeed::takeEraState(EraState source, TimePoint now)
+{
+    m_eraState = EraState::Settled;
+    m_restoredAt.reset();
+    if (source == EraState::Restoring)
+        awaitRewrite(EraState::Restoring, now);
+}
+
+void KeyedFeed::awaitRewrite(EraState state, TimePoint now)
+{
+    m_eraState = state;
+    m_restoredAt = now;
+}
+
 void KeyedFeed::startSnapshot(TimePoint now)
 {
     m_tailing = false;
@@ -108,7 +182,7 @@
     if (!m_restoredAt || now - *m_restoredAt < REWRITE_GRACE)
         return;
     m_restoredAt.reset();
-    m_isRestoring = false;
+    m_eraState = EraState::Settled;
     m_tailing = false;
     m_continueAfter.reset();
 }
--- a/src/store/internal/topicreader.cpp
+++ b/src/store/internal/topicreader.cpp
@@ -23,7 +23,7 @@
     FeedOptions options
         = source ? context.timing.fromHost(m_topic, twoHops) : context.timing.fromStore(m_topic, twoHops);
     // The first read from a source, and one after a failed read, is answered without waiting for new records.
-    if (m_feed.failingSince() || source != m_lastSource)
+    if (m_feed.failingSince() || source != m_lastSource || m_feed.isConfirmationDue())
         options.wait = Duration(0);
     m_feed.setOptions(options);
     auto request = m_feed.poll(context.now);
--- a/src/store/tests/propagation_test.cpp
+++ b/src/store/tests/propagation_test.cpp
@@ -309,7 +309,7 @@
                 if (!page)
                     return deliver([this, &host] { onFailed(host, StoreError::NotExecuted); });
                 page->sourceAge = ageAt(from);
-                page->isRestoring = from.reader->feed().isRestoring();
+                page->eraState = from.reader->feed().eraState();
                 return deliver([this, &host, page] { onPage(host, *page); });
             }
             from.pending.push_back({ .read = { .offset = read.request.offset,
@@ -343,7 +343,7 @@
             if (batch) {
                 batch->sourceAge = ageAt(host);
                 batch->heldFor = m_now - it.read.receivedAt;
-                batch->isRestoring = host.reader->feed().isRestoring();
+                batch->eraState = host.reader->feed().eraState();
             }
             it.answer(batch, StoreError::HistoryLost);
         }
--- a/src/store/tests/restoration_test.cpp
+++ b/src/store/tests/restoration_test.cpp
@@ -19,11 +19,21 @@
 KeyedFeed tailingFeed()
 {
     KeyedFeed feed({});
+    feed.trustFirstSnapshot();
     feed.poll(START);
     feed.onPage({ .records = { record("a", "1") }, .endOffset = 7, .era = FIRST }, START);
     return feed;
 }
 
+// A feed of a host that has started in the second era, and has read a snapshot of the store up to offset 7.
+KeyedFeed unverifiedFeed()
+{
+    KeyedFeed feed({});
+    feed.poll(START);
+    feed.onPage({ .records = { record("a", "1") }, .endOffset = 7, .era = SECOND }, START);
+    return feed;
+}
+
 // The first snapshot of the second era, up to offset 5.
 FeedUpdate readCopy(KeyedFeed& feed, TimePoint now)
 {
@@ -82,7 +92,7 @@
     cr_assert(readCopy(feed, restoredAt).isRestored);
     feed.poll(restoredAt);
     feed.onRecords({ .nextOffset = 5, .era = SECOND }, restoredAt);
-    cr_assert(feed.confirmedAt() == START && feed.currentAt() == restoredAt && feed.isRestoring());
+    cr_assert(feed.confirmedAt() == START && feed.currentAt() == restoredAt && feed.eraState() == EraState::Restoring);
     feed.onWrittenAgain();
     feed.poll(restoredAt);
     feed.onRecords({ .nextOffset = 6, .era = SECOND }, restoredAt);
@@ -93,7 +103,7 @@
 {
     KeyedFeed feed = tailingFeed();
     feed.poll(START + Duration(500));
-    feed.onRecords({ .nextOffset = 8, .era = FIRST, .isRestoring = true }, START + Duration(500));
+    feed.onRecords({ .nextOffset = 8, .era = FIRST, .eraState = EraState::Restoring }, START + Duration(500));
     cr_assert(feed.confirmedAt() == START);
 }
 
@@ -130,6 +140,119 @@
     cr_assert(source.newest()->era == SECOND);
 }
 
+// Guards against taking a copy for whole because it is the first that the host has read (review/9).
+Test(restoration, firstSnapshotConfirmsNothingByItself)
+{
+    constexpr Duration LONG_AFTER { 6000 };
+    KeyedFeed feed = unverifiedFeed();
+    cr_assert(feed.isUnverified() && feed.currentAt() == START && !feed.confirmedAt());
+    feed.poll(START);
+    feed.onRecords({ .nextOffset = 7, .era = SECOND }, START + Duration(500));
+    feed.onWrittenAgain();
+    cr_assert(!feed.confirmedAt(), "a host that has only the copy does not know what was lost");
+    cr_assert(feed.poll(START + LONG_AFTER)->kind == FeedRequest::Kind::ReadNewest);
+    feed.onPage({ .records = { record("a", "2") }, .endOffset = 8, .era = SECOND }, START + LONG_AFTER);
+    cr_assert(feed.confirmedAt() == START + LONG_AFTER);
+}
+
+Test(restoration, storeThatTellsNoEraIsConfirmedAtOnce)
+{
+    KeyedFeed feed({});
+    feed.poll(START);
+    feed.onPage({ .records = { record("a", "1") }, .endOffset = 7 }, START);
+    cr_assert(!feed.isUnverified() && feed.confirmedAt() == START);
+}
+
+// Guards against confirming records that were read before it was known that their era is settled.
+Test(restoration, recordOfSettledEraLetsNextReadConfirm)
+{
+    const TimePoint settledAt = START + Duration(20);
+    KeyedFeed feed = unverifiedFeed();
+    feed.poll(START);
+    cr_assert_not(feed.onEraSettled(FIRST, settledAt), "the copy holds the record of its earlier era");
+    cr_assert(feed.isUnverified());
+    cr_assert(feed.onEraSettled(SECOND, settledAt));
+    cr_assert(!feed.confirmedAt() && feed.eraState() == EraState::Restoring);
+    cr_assert(feed.poll(settledAt) && !feed.isConfirmationDue());
+    feed.onRecords({ .nextOffset = 7, .era = SECOND }, settledAt + Duration(5));
+    cr_assert(feed.confirmedAt() && feed.eraState() == EraState::Settled);
+}
+
+Test(restoration, unverifiedHostFollowsSettledOne)
+{
+    KeyedFeed feed = unverifiedFeed();
+    feed.poll(START);
+    feed.onRecords({ .nextOffset = 7, .era = SECOND, .eraState = EraState::Restoring }, START);
+    cr_assert(feed.isUnverified());
+    feed.poll(START);
+    feed.onRecords({ .nextOffset = 8, .era = SECOND, .eraState = EraState::Settled }, START + Duration(10));
+    cr_assert(feed.confirmedAt() && feed.eraState() == EraState::Settled);
+}
+
+// Guards against hosts that refuse keys because the one that reads the store for them has just started.
+Test(restoration, settledHostIsConfirmedByUnverifiedSource)
+{
+    KeyedFeed feed = tailingFeed();
+    feed.poll(START + Duration(500));
+    feed.onRecords({ .nextOffset = 8, .era = FIRST, .eraState = EraState::Unverified }, START + Duration(500));
+    cr_assert(feed.confirmedAt() == START + Duration(500));
+}
+
+// Guards against a third host that takes the records for confirmed, though the one that it reads from could not.
+Test(restoration, hostBehindRestoringSourceIsNoSettledSource)
+{
+    KeyedFeed feed = tailingFeed();
+    cr_assert(feed.eraState() == EraState::Settled);
+    feed.poll(START + Duration(500));
+    feed.onRecords({ .nextOffset = 8, .era = FIRST, .eraState = EraState::Restoring }, START + Duration(500));
+    cr_assert(feed.eraState() == EraState::Restoring);
+}
+
+// The host that is asked has not read the store since it came back. Guards against refusing what it knows because the
+// newcomer is in a later era.
+Test(restoration, unverifiedHostTakesSnapshotOfEarlierEra)
+{
+    const SnapshotPage known { .records = { record("a", "1"), record("b", "1") },
+        .endOffset = 9,
+        .era = FIRST,
+        .eraState = EraState::Settled,
+        .sourceAge = Duration(300) };
+    KeyedFeed feed = unverifiedFeed();
+    feed.poll(START);
+    const FeedUpdate update = feed.adopt(known, START);
+    cr_assert(update.replacesAll && !update.isRestored && update.records.size() == 2);
+    cr_assert(feed.confirmedAt() == START - Duration(300) && feed.era() == FIRST && feed.offset() == 9);
+    feed.poll(START);
+    feed.onFailed(StoreError::HistoryLost, START);
+    cr_assert(readCopy(feed, START).isRestored);
+    cr_assert(feed.eraState() == EraState::Restoring);
+}
+
+Test(restoration, unverifiedHostThatTakesRecordsOfRestoringOneIsRestoring)
+{
+    KeyedFeed feed = unverifiedFeed();
+    feed.adopt(
+        { .records = { record("a", "1") }, .endOffset = 7, .era = SECOND, .eraState = EraState::Restoring }, START);
+    cr_assert(feed.eraState() == EraState::Restoring && !feed.confirmedAt());
+    feed.onWrittenAgain();
+    feed.poll(START);
+    feed.onRecords({ .nextOffset = 8, .era = SECOND }, START + Duration(10));
+    cr_assert(feed.confirmedAt().has_value());
+}
+
+// Guards against a second restoration that makes a host believe that it has seen the first one.
+Test(restoration, unverifiedHostStaysSoInNextEra)
+{
+    KeyedFeed feed = unverifiedFeed();
+    feed.poll(START);
+    feed.onFailed(StoreError::HistoryLost, START);
+    feed.poll(START);
+    feed.onPage({ .records = { record("a", "0") }, .endOffset = 5, .era = SECOND.next() }, START);
+    feed.onWrittenAgain();
+    cr_assert(feed.isUnverified() && !feed.confirmedAt());
+    cr_assert_not(feed.onEraSettled(SECOND, START));
+}
+
 // Guards against sending to an upstream that has left, because the copy still names it.
 Test(restoration, deletedKeyOfCopyIsNotUnknown)
 {
--- a/tests/entry/hostfixture.h
+++ b/tests/entry/hostfixture.h
@@ -80,7 +80,7 @@
         for (std::size_t n = 0; n < upstreamCount; ++n)
             startUpstream(n);
         for (std::size_t n = 0; n < hosts; ++n)
-            startHost(n);
+            startHost(n, FirstStart::Yes);
     }
 
     void put(store::Topic topic, const std::string& key, const nlohmann::json& value)
@@ -88,7 +88,23 @@
         m_records.topics[topic].push_back({ .key = key, .value = value.dump() });
     }
     void remove(store::Topic topic, const std::string& key) { m_records.topics[topic].push_back({ .key = key }); }
-    void addHost() { startHost(hosts.size()); }
+    // A host that starts later than the system.
+    void addHost() { startHost(hosts.size(), FirstStart::No); }
+    // The hosts' processes end and start again.
+    void restartHosts(const std::vector<std::size_t>& numbers)
+    {
+        for (const std::size_t n : numbers)
+            stopHost(n);
+        for (const std::size_t n : numbers)
+            startProcess(hosts[n]);
+    }
+    void stopHost(std::size_t n)
+    {
+        hosts[n].host.reset();
+        // The callbacks of the calls that it had made to the store have to find it.
+        m_stores.push_back(std::move(hosts[n].store));
+        hosts[n].settings.bootstrap = false;
+    }
     void configure(int version, bool withSecondRoute = false)
     {
         put(store::Topic::Operator, "config", configuration(version, withSecondRoute));
@@ -246,12 +262,13 @@
         return !deadlyPart.empty() && parts && parts->find(deadlyPart + ":") != std::string::npos;
     }
 
-    void startHost(std::size_t n)
+    enum class FirstStart { Yes, No };
+
+    void startHost(std::size_t n, FirstStart first)
     {
         const std::string ip = http::test::uniqueLoopbackIp(static_cast<int>(11 + n));
         const auto [frontend, readiness, directory, metrics] = loop.freeEndpoints<4>(ip);
         Host it;
-        it.store = std::make_unique<MemoryStore>(loop.io(), m_records);
         it.settings = { .host = HostId("host-" + std::to_string(n)),
             .dataCentre = DataCentreId("a"),
             .region = RegionId("r"),
@@ -262,6 +279,14 @@
         it.settings.firstPeerPort = FIRST_PEER_PORT;
         it.settings.lastPeerPort = FIRST_PEER_PORT + 1;
         it.settings.bounds.revocation = REVOCATION;
+        it.settings.bootstrap = first == FirstStart::Yes;
+        hosts.push_back(std::move(it));
+        startProcess(hosts.back());
+    }
+
+    void startProcess(Host& it)
+    {
+        it.store = std::make_unique<MemoryStore>(loop.io(), m_records);
         const auto createClient = [this, links = it.links.get()] {
             return std::make_unique<CuttableClient>(loop.io(), loop.clock(), *links);
         };
@@ -275,10 +300,11 @@
                 cr_assert(false, "%s", failure.message.c_str());
                 return 1;
             });
-        hosts.push_back(std::move(it));
     }
 
     SharedRecords m_records;
+    // Of processes that have ended.
+    std::vector<std::unique_ptr<MemoryStore>> m_stores;
     const platform::WireCodec m_codec;
     int m_lastId = 0;
     std::vector<PendingAnswer> m_pending;
