One budget for the memory that callers make a host hold

What callers saw: one client with trailers, a chunk extension or pipelined requests without end, or some sixty open bodies of legal size, brought a process over the memory of its machine; it was killed, and what it had passed on got no answer.

Cause: limits.memory_mb was read and used nowhere. Each connection had limits for its parts, nothing had one for their sum, and two parts had none at all: unparsed bytes within a body, and answers of requests that follow each other unread.

Change: http::MemoryBudget, shared by all listeners of an entry host: a checked part of the process's memory (--caller-memory, 40 %). Over it the largest incomplete request is refused (503, not run), of equal ones the newest, then the connection with the most unsent bytes is ended; what is being served is never given up, and large requests leave a quarter to small ones. Unparsed bytes within a body are bounded by max_header_bytes; a caller that leaves 64 KiB of answers unread gets no further request begun; an announced body is allocated as it arrives; closed connections free their buffers at once; rejections are logged once a second at most.

--- a/apps/platformdaemon.cpp
+++ b/apps/platformdaemon.cpp
@@ -27,6 +27,7 @@
     std::string logLevel = "info";
     long metricsPort = 0;
     long startupWaitMs = entry::EntrySettings().startupWait.count();
+    long callerMemoryPercent = entry::ResourceLimits().callerMemoryPercent;
     std::string promptDivision = "configured";
     bool naivePolicy = false;
     bool flatExchange = false;
@@ -44,6 +45,9 @@
             "Time after the start in which requests wait for the configuration instead of being refused; 0 disables "
             "it.",
             setInteger(it.startupWaitMs, 0, 10'000) },
+        { "caller-memory", "PERCENT",
+            "Part of the process's memory that requests and answers of all callers may hold together.",
+            setInteger(it.callerMemoryPercent, 10, 80) },
         { "prompt-division", "MODE",
             "Divide the upstreams of a service between long and short prompts: never, configured (where a route can "
             "give "
@@ -72,6 +76,7 @@
 {
     BOOST_LEAF_AUTO(it, platform::parseSettings(text));
     it.startupWait = Duration(options.startupWaitMs);
+    it.limits.callerMemoryPercent = static_cast<int>(options.callerMemoryPercent);
     const auto division = promptDivisionOf(options.promptDivision);
     if (!division)
         return failure(ErrorCode::InvalidArgument, "--prompt-division: expected never, configured or always\n");
--- a/include/fireflyhaven/entry/types/settings.h
+++ b/include/fireflyhaven/entry/types/settings.h
@@ -55,6 +55,10 @@
     std::size_t memoryBytes = 256UL * 1024 * 1024;
     std::size_t maxFileDescriptors = 1024;
     std::uint16_t cpuMillicores = 250;
+    // Part of the memory that requests and answers of all callers may hold together.
+    int callerMemoryPercent = 40;
+
+    std::size_t callerMemoryBytes() const { return memoryBytes / 100 * static_cast<std::size_t>(callerMemoryPercent); }
 };
 
 struct StoreSettings {
--- a/include/fireflyhaven/http/eventserver.h
+++ b/include/fireflyhaven/http/eventserver.h
@@ -3,6 +3,7 @@
 #include "fireflyhaven/common/clock.h"
 #include "fireflyhaven/common/result.h"
 #include "fireflyhaven/http/exchange.h"
+#include "fireflyhaven/http/memorybudget.h"
 #include "fireflyhaven/http/types/endpoint.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,6 +24,8 @@
     Endpoint listen;
     std::size_t maxConnections = 2000;
     RequestLimits limits;
+    // Shared by all servers of a process; not limited where null.
+    std::shared_ptr<MemoryBudget> memory;
 };
 
 // HTTP/1.1 server on one event loop. Passes complete requests to the handler; the requests of one connection are
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -77,7 +77,10 @@
 
 CatalogSync::~CatalogSync() { *m_alive = false; }
 
-Result<void> CatalogSync::listen(const http::Endpoint& relayAddress) { return m_relayServer.listen(relayAddress); }
+Result<void> CatalogSync::listen(const http::Endpoint& relayAddress)
+{
+    return m_relayServer.listen(relayAddress, m_context.memory);
+}
 
 void CatalogSync::start()
 {
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -38,6 +38,8 @@
     store::IRecordStore& store;
     catalog::Catalog& catalog;
     const EntrySettings& settings;
+    // Of the connections of all listeners.
+    std::shared_ptr<http::MemoryBudget> memory;
     // Returns the table of the hosts that may serve as sources, or null if there is none yet.
     std::function<const fleet::HostTable*()> hosts;
     ICatalogListener& listener;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -76,6 +76,7 @@
         , m_clock(clock)
         , m_codec(codec)
         , m_settings(std::move(settings))
+        , m_callerMemory(std::make_shared<http::MemoryBudget>(m_settings.limits.callerMemoryBytes()))
         , m_balancer(m_catalog, m_peerLoad, m_limits,
               { .ownDataCentre = m_settings.dataCentre,
                   .seed = stableHash(m_settings.host.value()),
@@ -96,6 +97,7 @@
               .store = store,
               .catalog = m_catalog,
               .settings = m_settings,
+              .memory = m_callerMemory,
               .hosts = [this] { return &m_fleetLink.hosts(); },
               .listener = *this })
         , m_limitLink({ .clock = clock,
@@ -174,6 +176,7 @@
               .requestDispatcher = m_requestDispatcher,
               .client = *m_client,
               .store = store,
+              .callerMemory = *m_callerMemory,
               .metrics = m_metrics })
         , m_tickTimer(loop)
         , m_queueTimer(loop)
@@ -224,6 +227,7 @@
         }
         m_settings.bounds = settings.bounds;
         m_settings.limits = settings.limits;
+        m_callerMemory->setMaxBytes(settings.limits.callerMemoryBytes());
         m_rollouts.setOptions(rolloutOptions(settings.bounds));
         m_retries.setOptions(retryOptions(settings.bounds, m_sharingHosts));
         telemetry::logEvent(spdlog::level::info, "settings_reloaded");
@@ -343,7 +347,9 @@
     Result<std::unique_ptr<http::EventServer>> startServer(
         const http::Endpoint& address, std::size_t maxConnections, http::ExchangeHandler handler)
     {
-        const http::EventServerOptions options { .listen = address, .maxConnections = maxConnections };
+        const http::EventServerOptions options {
+            .listen = address, .maxConnections = maxConnections, .memory = m_callerMemory
+        };
         return http::EventServer::start(m_loop, m_clock, options, std::move(handler));
     }
 
@@ -562,6 +568,7 @@
     const IWireCodec& m_codec;
     EntrySettings m_settings;
     catalog::Catalog m_catalog;
+    const std::shared_ptr<http::MemoryBudget> m_callerMemory;
     fleet::PeerLoad m_peerLoad;
     ratelimit::LimitTable m_limits;
     balancing::Balancer m_balancer;
--- a/src/entry/internal/peerrelay.cpp
+++ b/src/entry/internal/peerrelay.cpp
@@ -154,10 +154,11 @@
 {
 }
 
-Result<void> RelayServer::listen(const http::Endpoint& address)
+Result<void> RelayServer::listen(const http::Endpoint& address, std::shared_ptr<http::MemoryBudget> memory)
 {
     BOOST_LEAF_ASSIGN(m_server,
-        http::EventServer::start(m_loop, m_clock, { .listen = address, .maxConnections = 500 },
+        http::EventServer::start(m_loop, m_clock,
+            { .listen = address, .maxConnections = 500, .memory = std::move(memory) },
             [this](auto exchange) { onRequest(std::move(exchange)); }));
     return {};
 }
--- a/src/entry/internal/peerrelay.h
+++ b/src/entry/internal/peerrelay.h
@@ -23,7 +23,7 @@
 
     RelayServer(boost::asio::io_context& loop, const IClock& clock, FeedOf feedOf);
 
-    Result<void> listen(const http::Endpoint& address);
+    Result<void> listen(const http::Endpoint& address, std::shared_ptr<http::MemoryBudget> memory = nullptr);
     // This host can't read the topic any more: waiting reads fail at once, so that they are made elsewhere.
     void onSourceLost(store::Topic topic);
     // The feed of the topic has made this update, which may be empty.
--- a/src/entry/internal/statuspages.cpp
+++ b/src/entry/internal/statuspages.cpp
@@ -58,6 +58,11 @@
     metrics.set("upstreams_limited", static_cast<double>(m_context.limits.limitedUpstreams()));
     metrics.set("prompt_parts_refused", static_cast<double>(m_context.poisonGuard.verdicts().size()));
     metrics.set("upstream_crashes_known", static_cast<double>(m_context.poisonGuard.knownCrashes()));
+    const http::MemoryBudget& memory = m_context.callerMemory;
+    metrics.set("caller_memory_bytes", static_cast<double>(memory.usedBytes()));
+    metrics.set("caller_memory_limit_bytes", static_cast<double>(memory.maxBytes()));
+    metrics.set("requests_refused_for_memory", static_cast<double>(memory.refusedRequests()));
+    metrics.set("connections_ended_for_memory", static_cast<double>(memory.endedConnections()));
     metrics.set("hosts_live", static_cast<double>(m_context.fleetLink.hosts().live(now).size() + 1));
     metrics.set("configuration_version", static_cast<double>(m_context.catalog.version().value()));
     if (const auto confirmed = m_context.catalogSync.operatorConfirmedAt())
--- a/src/entry/internal/statuspages.h
+++ b/src/entry/internal/statuspages.h
@@ -30,6 +30,7 @@
         const RequestDispatcher& requestDispatcher;
         const http::EventClient& client;
         const store::IRecordStore& store;
+        const http::MemoryBudget& callerMemory;
         telemetry::Metrics& metrics;
     };
     explicit StatusPages(Context context);
--- a/src/http/internal/eventserver.cpp
+++ b/src/http/internal/eventserver.cpp
@@ -22,8 +22,8 @@
         , m_sweepTimer(loop)
         , m_acceptTimer(loop)
         , m_options(std::move(options))
-        , m_context(std::make_shared<ServerContext>(
-              ServerContext { .clock = clock, .limits = m_options.limits, .handler = std::move(handler) }))
+        , m_context(std::make_shared<ServerContext>(ServerContext {
+              .clock = clock, .limits = m_options.limits, .handler = std::move(handler), .memory = m_options.memory }))
     {
     }
 
--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -1,7 +1,16 @@
 #include "messageparser.h"
 
+#include <algorithm>
+
 namespace fireflyhaven::http {
 
+namespace {
+
+// Memory that is allocated for a body when it is announced; a larger one gets more as it arrives.
+constexpr std::uint64_t MAX_INITIAL_BODY_BYTES = 64 * 1024;
+
+}
+
 RequestParser::RequestParser(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes)
 {
     header_limit(maxHeaderBytes);
@@ -33,8 +42,10 @@
 {
     ec = {};
     // Drops the trailer fields of a chunked body: they arrive after the headers were checked.
-    if (!m_headerDone)
-        m_head.headers.add(std::string(name), std::string(value));
+    if (m_headerDone)
+        return;
+    m_headBytes += sizeof(HeaderField) + name.size() + value.size();
+    m_head.headers.add(std::string(name), std::string(value));
 }
 
 void RequestParser::on_header_impl(IoErrorCode& ec)
@@ -49,7 +60,7 @@
 {
     ec = {};
     if (length)
-        m_body.reserve(*length);
+        m_body.reserve(std::min(*length, MAX_INITIAL_BODY_BYTES));
 }
 
 std::size_t RequestParser::on_body_impl(string_view body, IoErrorCode& ec)
--- a/src/http/internal/messageparser.h
+++ b/src/http/internal/messageparser.h
@@ -19,6 +19,8 @@
     RequestHead& head() { return m_head; }
     std::string& body() { return m_body; }
     bool isHttp10() const { return m_version == 10; }
+    // Memory that the parts of the request hold that have arrived.
+    std::size_t heldBytes() const { return m_headBytes + m_body.capacity(); }
     // Whether the request has a Transfer-Encoding other than exactly "chunked". If "chunked" is not the last coding,
     // the end of the body is undefined.
     bool hasAmbiguousLength() const;
@@ -40,6 +42,7 @@
     void on_finish_impl(IoErrorCode& ec) override { ec = {}; }
 
     RequestHead m_head;
+    std::size_t m_headBytes = 0;
     std::string m_body;
     int m_version = 11;
     bool m_headerDone = false;
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 64 * 1024;
 constexpr std::size_t MAX_BUFFERS_PER_WRITE = 16;
 constexpr Duration LINGER_TIMEOUT { 1000 };
+constexpr Duration REJECTION_LOG_INTERVAL { 1000 };
 // TCP_USER_TIMEOUT of callers: detects unreachable machines by the lack of acknowledgements.
 constexpr Duration CALLER_USER_TIMEOUT { 4000 };
 
@@ -136,6 +137,12 @@
 {
 }
 
+ServerConnection::~ServerConnection()
+{
+    if (m_context->memory)
+        m_context->memory->remove(*this);
+}
+
 void ServerConnection::start()
 {
     IoErrorCode ec;
@@ -151,9 +158,11 @@
 {
     if (m_reading || m_state == State::Closed)
         return;
-    const bool readAheadFull = m_state == State::Responding && m_buffer.size() >= MAX_READ_AHEAD_BYTES;
-    if (readAheadFull)
+    const bool readsAhead = m_state == State::Responding || isAnswerUnread();
+    if (readsAhead && m_buffer.size() >= MAX_READ_AHEAD_BYTES)
         return;
+    if (m_buffer.size() == 0 && m_buffer.capacity() > READ_BUFFER_BYTES)
+        m_buffer.shrink_to_fit();
     m_reading = true;
     m_socket.async_read_some(m_buffer.prepare(READ_BUFFER_BYTES),
         [self = shared_from_this()](IoErrorCode ec, std::size_t n) { self->onRead(ec, n); });
@@ -163,7 +172,7 @@
 {
     m_reading = false;
     if (m_state == State::Closed)
-        return;
+        return freeBuffers();
     if (ec)
         return close();
     m_buffer.commit(n);
@@ -173,8 +182,10 @@
     const bool requestBegins = m_state == State::ReadingHead && !m_parser;
     if (requestBegins || m_state == State::ReadingBody)
         m_lastProgress = m_context->clock.now();
-    if (m_state == State::ReadingHead || m_state == State::ReadingBody)
+    const bool receives = m_state == State::ReadingHead || m_state == State::ReadingBody;
+    if (receives && !isAnswerUnread())
         parse();
+    reportMemory();
     read();
 }
 
@@ -199,6 +210,9 @@
     }
     if (m_parser->is_done())
         return dispatch();
+    // Trailers, or the extension of a chunk.
+    if (m_buffer.size() > m_context->limits.maxHeaderBytes)
+        return reject(STATUS_HEADERS_TOO_LARGE);
     if (m_state == State::ReadingHead && m_parser->is_header_done()) {
         m_state = State::ReadingBody;
         m_lastProgress = m_context->clock.now();
@@ -209,14 +223,53 @@
 
 void ServerConnection::reject(int status)
 {
-    spdlog::info("request from {} rejected with status {}", m_peer, status);
+    logRejection(status);
     m_parser.reset();
     std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
-    out.append(reasonPhrase(status)).append("\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    out.append(reasonPhrase(status)).append("\r\nContent-Length: 0\r\nConnection: close\r\n");
+    if (status == STATUS_UNAVAILABLE)
+        out.append("Retry-After: 1\r\n");
+    out.append("\r\n");
     write(std::move(out));
     endResponse(false);
 }
 
+void ServerConnection::logRejection(int status)
+{
+    const TimePoint now = m_context->clock.now();
+    if (now - m_context->rejectionLoggedAt < REJECTION_LOG_INTERVAL) {
+        ++m_context->unloggedRejections;
+        return;
+    }
+    m_context->rejectionLoggedAt = now;
+    spdlog::info("request from {} rejected with status {}; {} others since the last such line", m_peer, status,
+        std::exchange(m_context->unloggedRejections, 0));
+}
+
+void ServerConnection::reportMemory()
+{
+    if (!m_context->memory || m_state == State::Closed)
+        return;
+    MemoryUse use { .unsent = m_unsentBytes };
+    if (m_state == State::ReadingHead || m_state == State::ReadingBody)
+        use.incomplete = m_buffer.capacity() + (m_parser ? m_parser->heldBytes() : 0);
+    else
+        use.served = m_buffer.capacity() + (m_exchange ? m_requestBytes : 0);
+    m_context->memory->update(*this, use);
+}
+
+// The request was not passed on, so that the refusal holds.
+void ServerConnection::refuseIncomplete()
+{
+    if (m_state == State::ReadingHead || m_state == State::ReadingBody)
+        reject(STATUS_UNAVAILABLE);
+}
+
+void ServerConnection::endUnsent()
+{
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->close(); });
+}
+
 ServerConnection::Unread ServerConnection::unread()
 {
     char byte = 0;
@@ -238,12 +291,14 @@
         return close();
     const auto self = shared_from_this();
     const bool http10 = m_parser->isHttp10();
+    m_requestBytes = m_parser->heldBytes();
     m_exchange = std::make_shared<ServerExchange>(
         self, std::move(m_parser->head()), std::move(m_parser->body()), m_peer, http10);
     m_parser.reset();
     m_state = State::Responding;
     m_lastProgress = m_context->clock.now();
     ++m_context->openExchanges;
+    reportMemory();
     m_context->handler(m_exchange);
 }
 
@@ -254,6 +309,7 @@
     m_unsentBytes += data.size();
     m_unsent.push_back(std::move(data));
     flush();
+    reportMemory();
 }
 
 void ServerConnection::flush()
@@ -273,10 +329,10 @@
 {
     m_buffersInWrite = 0;
     if (m_state == State::Closed)
-        return;
+        return freeBuffers();
     if (ec)
         return close();
-    const bool wasFull = m_unsentBytes >= Exchange::MAX_UNSENT_BYTES;
+    const bool wasFull = isAnswerUnread();
     m_unsentBytes -= n;
     while (n > 0) {
         std::string& first = m_unsent.front();
@@ -288,8 +344,11 @@
         m_unsent.pop_front();
     }
     flush();
-    if (wasFull && m_unsentBytes < Exchange::MAX_UNSENT_BYTES && m_exchange)
+    reportMemory();
+    if (wasFull && !isAnswerUnread() && m_exchange)
         m_exchange->notifyWritable();
+    if (wasFull && !isAnswerUnread() && m_state == State::ReadingHead)
+        parseNext();
     if (m_state == State::Lingering && m_unsent.empty())
         linger();
 }
@@ -302,15 +361,22 @@
     m_lastProgress = m_context->clock.now();
     if (!keepAlive || m_closeAfterFlush) {
         m_state = State::Lingering;
+        reportMemory();
         if (m_unsent.empty())
             linger();
         read();
         return;
     }
     m_state = State::ReadingHead;
-    // The next request may already be in the buffer. Posting avoids a nested call of the handler.
+    reportMemory();
+    parseNext();
+}
+
+// The next request may already be in the buffer. Posting avoids a nested call of the handler.
+void ServerConnection::parseNext()
+{
     boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-        if (self->m_state == State::ReadingHead && self->m_buffer.size() > 0)
+        if (self->m_state == State::ReadingHead && self->m_buffer.size() > 0 && !self->isAnswerUnread())
             self->parse();
         self->read();
     });
@@ -357,13 +423,26 @@
         close();
 }
 
+// The server still holds a closed connection for a moment.
+void ServerConnection::freeBuffers()
+{
+    if (m_reading || m_buffersInWrite > 0)
+        return;
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    m_unsent.clear();
+}
+
 void ServerConnection::close()
 {
     if (m_state == State::Closed)
         return;
     m_state = State::Closed;
+    if (m_context->memory)
+        m_context->memory->remove(*this);
     IoErrorCode ec;
     m_socket.close(ec);
+    m_parser.reset();
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
         --m_context->openExchanges;
         exchange->notifyCallerDisconnected();
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -50,16 +50,24 @@
     const IClock& clock;
     RequestLimits limits;
     ExchangeHandler handler;
+    // Null where the memory is not limited.
+    std::shared_ptr<MemoryBudget> memory;
     bool closeAfterResponses = false;
     std::size_t openExchanges = 0;
+    // When a rejection was last logged, and how many were not logged since.
+    TimePoint rejectionLoggedAt {};
+    std::uint64_t unloggedRejections = 0;
 };
 
 // One accepted connection: processes its requests one at a time.
-class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>, private IMemoryHolder {
 public:
     using Tcp = boost::asio::ip::tcp;
 
     ServerConnection(Tcp::socket socket, std::shared_ptr<ServerContext> context);
+    ServerConnection(const ServerConnection&) = delete;
+    ServerConnection& operator=(const ServerConnection&) = delete;
+    ~ServerConnection() override;
 
     void start();
     // Closes the connection if the timeout of its current state has expired.
@@ -86,6 +94,13 @@
     void parse();
     bool processCompleteRequests();
     void reject(int status);
+    void logRejection(int status);
+    // Whether the caller leaves so much of its answers unread that no further request of it begins.
+    bool isAnswerUnread() const { return m_unsentBytes >= Exchange::MAX_UNSENT_BYTES; }
+    // Tells the budget what this connection holds.
+    void reportMemory();
+    void refuseIncomplete() override;
+    void endUnsent() override;
     void dispatch();
     // What waits at the socket that no handler has read yet: nothing, bytes, or the end of the connection.
     enum class Unread { Nothing, Bytes, End };
@@ -97,6 +112,8 @@
     void onWritten(IoErrorCode ec, std::size_t n);
     void endResponse(bool keepAlive);
     void linger();
+    void parseNext();
+    void freeBuffers();
     Duration currentTimeout() const;
 
     Tcp::socket m_socket;
@@ -105,6 +122,8 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<RequestParser> m_parser;
     std::shared_ptr<ServerExchange> m_exchange;
+    // Memory that the request of the exchange holds.
+    std::size_t m_requestBytes = 0;
     std::deque<std::string> m_unsent;
     std::size_t m_unsentBytes = 0;
     std::size_t m_buffersInWrite = 0;
