A refusal that names no attempt is not taken for the answer to a request that has one

Cause: an answer was skipped only where it named another attempt. One that named none counted as the answer to the request, and its statement that nothing had run let the host send the order to another upstream while the first one ran it.

Callers that name no attempt are served as before.

--- a/src/entry/internal/requestflowanswers.cpp
+++ b/src/entry/internal/requestflowanswers.cpp
@@ -22,11 +22,20 @@
     return info.notExecuted && (info.status == STATUS_UNAVAILABLE || info.status == STATUS_TOO_MANY_REQUESTS);
 }
 
+// Whether the response may be the one to this attempt. Upstreams name the attempt in all responses, so that a refusal
+// which names none may be bytes behind the response to an earlier request on the same connection.
+bool belongsTo(const ResponseInfo& info, const AttemptId& attempt)
+{
+    if (info.attempt.empty())
+        return attempt.empty() || !wasRefusedUnexecuted(info);
+    return info.attempt == attempt;
+}
+
 }
 
 http::HeadVerdict RequestFlow::onAttemptHead(const ResponseInfo& info, const http::ResponseHead& head, TimePoint now)
 {
-    if (!info.attempt.empty() && info.attempt != m_request.attempt)
+    if (!belongsTo(info, m_request.attempt))
         return http::HeadVerdict::Skip;
     const bool trusted = wasRefusedUnexecuted(info) || (info.isSigned && !info.hasContentCoding) || info.notExecuted;
     if (!trusted) {
