--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -1,6 +1,7 @@
 #include "fireflyhaven/entry/entryhost.h"
 
 #include "fireflyhaven/telemetry/logevent.h"
+#include "callerdirectory.h"
 #include "catalogsync.h"
 #include "configurationfreshness.h"
 #include "rolloutstatuswriter.h"
@@ -15,7 +16,6 @@
 #include "poisonlink.h"
 #include "reachprober.h"
 #include "requestdispatcher.h"
-#include "directoryhostselector.h"
 #include "statuspages.h"
 
 #include <boost/asio/post.hpp>
@@ -29,7 +29,6 @@
 // Interval at which sending is retried while requests are queued.
 constexpr Duration QUEUE_POLL_INTERVAL { 20 };
 constexpr Duration DIRECTORY_TTL { 2000 };
-constexpr std::size_t MAX_ADDRESSES = 64;
 constexpr std::size_t MAX_METRICS_CONNECTIONS = 16;
 // A host that takes another one's request and cannot serve it asks the caller to return after this time.
 constexpr Duration RETRY_AFTER_HANDOVER { 300 };
@@ -120,7 +119,7 @@
               .client = *m_client,
               .metrics = m_metrics,
               .sendNotices = [this] { m_fleetLink.sendPoisonNotices(); } })
-        , m_hostSelector(m_settings.frontend)
+        , m_callerDirectory(m_settings, m_fleetLink.hosts())
         , m_statusWriter({ .host = m_settings.host,
               .clock = clock,
               .codec = codec,
@@ -434,35 +433,11 @@
             return exchange.sendResponse({ .status = STATUS_NOT_FOUND }, {});
         http::ResponseHead head { .status = STATUS_OK };
         head.headers.add("Content-Type", "application/json");
+        const CallerDirectory::OwnState own { .takesCallers = takesCallers(),
+            .isDraining = m_drainingSince.has_value() };
+        const auto addresses = m_callerDirectory.addressesFor(*query, own, m_clock.now());
         const Duration ttl = std::min(DIRECTORY_TTL, m_settings.bounds.maxDirectoryTtl);
-        exchange.sendResponse(head, m_codec.encodeAddresses(addressesFor(*query), ttl));
-    }
-
-    // Addresses of the hosts that accept callers, those in the caller's data centre first; in the layered exchange only
-    // a selection of them. If there are none, this host's own address, unless it is draining.
-    std::vector<http::Endpoint> addressesFor(const AddressQuery& query) const
-    {
-        if (m_fleetLink.hosts().isLayered()) {
-            auto selected = m_hostSelector.choose(m_fleetLink.hosts(), query.dataCentre, m_clock.now());
-            if (!selected.empty())
-                return selected;
-        }
-        std::vector<http::Endpoint> local;
-        std::vector<http::Endpoint> remote;
-        const auto add = [&](const DataCentreId& dataCentre, const http::Endpoint& address) {
-            (dataCentre == query.dataCentre ? local : remote).push_back(address);
-        };
-        if (takesCallers())
-            add(m_settings.dataCentre, m_settings.frontend);
-        for (const fleet::KnownHost* it : m_fleetLink.hosts().live(m_clock.now())) {
-            if (it->report.acceptsRequests)
-                add(it->report.dataCentre, it->report.frontend);
-        }
-        local.insert(local.end(), remote.begin(), remote.end());
-        if (local.empty() && !m_drainingSince)
-            local.push_back(m_settings.frontend);
-        local.resize(std::min(local.size(), MAX_ADDRESSES));
-        return local;
+        exchange.sendResponse(head, m_codec.encodeAddresses(addresses, ttl));
     }
 
     void tick()
@@ -589,7 +564,7 @@
     FleetLink m_fleetLink;
     ConfigurationFreshness m_freshness;
     PoisonLink m_poisonLink;
-    DirectoryHostSelector m_hostSelector;
+    CallerDirectory m_callerDirectory;
     RolloutStatusWriter m_statusWriter;
     FlowContext m_flowContext;
     DriverContext m_driverContext;
--- a/tests/strangers/hostprocess.cpp
+++ b/tests/strangers/hostprocess.cpp
@@ -205,7 +205,7 @@
     , m_store(m_loop.freeEndpoint(http::test::uniqueLoopbackIp(2)))
     , m_upstream(m_loop.freeEndpoint(http::test::uniqueLoopbackIp(3)))
 {
-    std::string folder = (std::filesystem::temp_directory_path() / "strangers-XXXXXX").string();
+    std::string folder = (std::filesystem::temp_directory_path() / "strangers-").string() + std::string(6, 'X');
     cr_assert(mkdtemp(folder.data()));
     m_folder = folder;
     startStandIns();
