A host that is destroyed leaves no timer behind that still calls it

Seen: starting_era::standingKeyIsServedSoonWhereAllHostsStartInCalm crashed in one run of test_entryhost and in the 8th of up to 40 runs of its own (x86_64), right after the test had ended all hosts and started them again in one event loop. Callers never saw it: a process destroys its host only when its loop has ended.

Cause: AsioEntryHost and RelayServer hand a flag to their timers that says whether they live, and never lowered it. A handler that was queued when the host was destroyed found the flag up, with no error of the cancelled timer.

Change: both lower it when they are destroyed. The classes that hold weak pointers, and CatalogSync, FleetLink and EraVerifier, were read and are right.

--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -183,6 +183,10 @@
     {
     }
 
+    AsioEntryHost(const AsioEntryHost&) = delete;
+    AsioEntryHost& operator=(const AsioEntryHost&) = delete;
+    ~AsioEntryHost() override { *m_alive = false; }
+
     Result<void> listen()
     {
         const auto limit = static_cast<std::size_t>(static_cast<double>(m_settings.limits.maxFileDescriptors) * 0.4);
--- a/src/entry/internal/peerrelay.h
+++ b/src/entry/internal/peerrelay.h
@@ -22,6 +22,9 @@
     using FeedOf = std::function<const store::KeyedFeed*(store::Topic)>;
 
     RelayServer(boost::asio::io_context& loop, const IClock& clock, FeedOf feedOf);
+    RelayServer(const RelayServer&) = delete;
+    RelayServer& operator=(const RelayServer&) = delete;
+    ~RelayServer() { *m_alive = false; }
 
     Result<void> listen(const http::Endpoint& address, std::shared_ptr<http::MemoryBudget> memory = nullptr);
     // This host can't read the topic any more: waiting reads fail at once, so that they are made elsewhere.
