--- a/src/entry/tests/peerrelay_test.cpp
+++ b/src/entry/tests/peerrelay_test.cpp
@@ -109,3 +109,28 @@
     source.loop.runUntil([&] { return verified.has_value(); }, "the answer has arrived");
     cr_assert(verified->value && verified->value->eraState == store::EraState::Settled);
 }
+
+// The earlier build's answers end before the packed records. Guards against taking such a host for one that knows
+// nothing of the era.
+Test(peerRelay, answerOfEarlierBuildTellsWhetherItIsSettled)
+{
+    constexpr std::size_t LATER_BYTES = sizeof(std::uint64_t) + sizeof(bool);
+    Source source(store::Era(2));
+    const auto http = http::EventClient::create(source.loop.io(), source.loop.clock());
+    http::test::RecordingResponseObserver answer;
+    const auto call = http->start(source.address, { .head = { .method = "GET", .target = "/newest?topic=0" } }, answer);
+    source.loop.runUntil([&] { return answer.isDone(); }, "the answer has arrived");
+    const std::string earlier = answer.body.substr(0, answer.body.size() - LATER_BYTES);
+    const http::Endpoint address = source.loop.freeEndpoint(http::test::uniqueLoopbackIp(2));
+    const auto server = http::EventServer::start(source.loop.io(), source.loop.clock(), { .listen = address },
+        [&](const auto& exchange) { exchange->sendResponse({ .status = 200 }, earlier); });
+    cr_assert(server);
+    RelayClient client(source.loop.io(), source.loop.clock());
+    std::optional<store::Outcome<store::SnapshotPage>> page;
+    client.readNewest(
+        address, store::Topic::Operator, SnapshotKind::Verified, [](std::size_t) {},
+        [&](const auto& outcome) { page = outcome; });
+    source.loop.runUntil([&] { return page.has_value(); }, "the answer has been read");
+    cr_assert(page->value && page->value->era == store::Era(2) && page->value->records.size() == 2);
+    cr_assert(page->value->eraState == store::EraState::Restoring, "what an unverified host tells earlier builds");
+}
