--- a/src/store/internal/keyedfeed.cpp
+++ b/src/store/internal/keyedfeed.cpp
@@ -95,11 +95,11 @@
     m_offset = std::max(m_offset, batch.nextOffset);
     // Earliest time at which the source can have answered; the transfer time of the answer is not known.
     const TimePoint answeredAt = std::min(now, m_requestedAt + batch.heldFor);
-    // A source that is settled has passed on all that was written again.
-    if (isUnverified() && batch.eraState == EraState::Settled)
-        m_eraState = EraState::Settled;
     onCurrent(answeredAt - batch.sourceAge, batch.eraState);
     onSucceeded(now);
+    // A source that is settled may hold records that came before this feed's snapshot and are not in the store's copy.
+    if (isUnverified() && batch.eraState == EraState::Settled)
+        startSnapshot(now);
     return { .replacesAll = false, .records = batch.records };
 }
 
--- a/src/store/tests/restoration_test.cpp
+++ b/src/store/tests/restoration_test.cpp
@@ -186,6 +186,10 @@
     cr_assert(feed.isUnverified());
     feed.poll(START);
     feed.onRecords({ .nextOffset = 8, .era = SECOND, .eraState = EraState::Settled }, START + Duration(10));
+    cr_assert(feed.isUnverified() && !feed.confirmedAt(), "the source may hold records that the copy lacks");
+    cr_assert(feed.poll(START + Duration(10))->kind == FeedRequest::Kind::ReadNewest);
+    feed.onPage({ .records = { record("a", "2") }, .endOffset = 8, .era = SECOND, .eraState = EraState::Settled },
+        START + Duration(20));
     cr_assert(feed.confirmedAt() && feed.eraState() == EraState::Settled);
 }
 
