A write no longer takes the error that tells a reset from the end of a response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body, and the connection was reset while the upload was still being written.

Cause: the kernel reports the failure of a connection to one call only. Of a pending write and a pending read the loop runs the write first, which ignored its error; the read after it returned 0, which is the end of a response without a length. Trace on (a log line in onWritten and onRead, aarch64): "write Connection reset by peer (104)", then "read End of file". A connection that times out because the upstream takes nothing of the request does the same ("write Connection timed out (110)", "read End of file"), both where the upstream had ended its response regularly before and where it had not. So the error of the write alone does not tell a part from the whole.

Change: the client writes without blocking, and looks for a failure of the connection before it writes on. A failed connection is left to the read, which gets the regular end in its place if there was one. Where the failure falls between the look and the write, the write's error counts for the read that would have got it; a broken pipe does not, as the kernel reports it for a reset after the regular end. Results of writes are known at once, so that no read can be handled before the write whose error it lacks.

Evidence: early_response.* (the stand-in reads nothing, with a small receive buffer and a request of 24 MB). On partOfCloseDelimitedResponseFails and partOfCloseDelimitedResponseFailsAfterTimeout fail: "passed for complete", by a reset at once and by a time-out; with the change all 7 pass. Each half undone alone: without the look, wholeCloseDelimitedResponseIsDeliveredAfterTimeout fails; without the write's error, partFailsWhereTheResetArrivesJustBeforeAWrite. Handled before, tests kept: whole responses with a length, in chunks, with trailers, behind interim ones, before a reset, and without a length before a regular end that a reset follows.

--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -2,7 +2,7 @@
 
 #include "socketoptions.h"
 
-#include <boost/asio/write.hpp>
+#include <poll.h>
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
@@ -34,6 +34,13 @@
     return ec == std::errc() ? std::optional(Duration(std::chrono::seconds(seconds))) : std::nullopt;
 }
 
+// Whether the connection has failed. Leaves the error, if it is still unreported, to the next call on the socket.
+bool hasFailed(int socket)
+{
+    pollfd it { .fd = socket, .events = 0, .revents = 0 };
+    return ::poll(&it, 1, 0) > 0 && (it.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 }
 
 ClientConnection::ClientConnection(
@@ -52,6 +59,7 @@
     m_request = std::move(request);
     m_serializedHead = serializeHead(m_request.head, m_peer.text(), bodySize());
     m_sentBytes = 0;
+    m_writeError = {};
     m_bytesBesideBody = 0;
     m_paused = false;
     m_discardingResponse = false;
@@ -77,6 +85,8 @@
     const auto address = boost::asio::ip::make_address(m_peer.ip, ec);
     if (!ec)
         m_socket.open(Tcp::v4(), ec);
+    if (!ec)
+        m_socket.non_blocking(true, ec);
     if (ec) {
         boost::asio::post(m_socket.get_executor(),
             [self = shared_from_this(), ec] { self->fail("cannot open a socket: " + ec.message()); });
@@ -120,19 +130,29 @@
     } else {
         buffers[0] = boost::asio::buffer(*m_request.body) + (m_sentBytes - m_serializedHead.size());
     }
-    m_writing = true;
-    m_socket.async_write_some(
-        buffers, [self = shared_from_this()](IoErrorCode ec, std::size_t n) { self->onWritten(ec, n); });
+    IoErrorCode ec;
+    m_sentBytes += m_socket.write_some(buffers, ec);
+    if (ec && ec != boost::asio::error::would_block) {
+        // A broken pipe is a reset after the peer had ended its sending side regularly.
+        if (ec != boost::asio::error::broken_pipe)
+            m_writeError = ec;
+        // The peer may have sent an early response that is still unread.
+        return;
+    }
+    if (!isRequestWritten())
+        awaitWritable();
 }
 
-void ClientConnection::onWritten(IoErrorCode ec, std::size_t n)
+void ClientConnection::awaitWritable()
 {
-    if (m_state != State::Busy)
-        return;
-    m_writing = false;
-    m_sentBytes += n;
-    // Write errors are left to the read side: the peer may have sent an early response that is still unread.
-    if (!ec && !isRequestWritten())
+    m_socket.async_wait(Tcp::socket::wait_write, [self = shared_from_this()](IoErrorCode) { self->onWritable(); });
+}
+
+// The kernel reports the failure of a connection to one call, and a regular end to all reads after it. The failure is
+// left to the read, which gets the peer's regular end in its place if there was one.
+void ClientConnection::onWritable()
+{
+    if (m_state == State::Busy && !hasFailed(m_socket.native_handle()))
         writeSome();
 }
 
@@ -157,6 +177,8 @@
             spdlog::info("upstream {} sent {} bytes on an idle connection; closing the connection", m_peer.text(), n);
         return close();
     }
+    if (ec == boost::asio::error::eof && m_writeError)
+        ec = m_writeError;
     if (ec == boost::asio::error::eof && m_parser->is_header_done() && m_parser->need_eof()) {
         if (m_discardingResponse)
             return fail("connection closed by the peer after a response to another request");
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -35,8 +35,8 @@
     void cancel();
     void pause();
     void resume();
-    // Whether bytes of the request may have left, also by a write whose outcome is not known yet.
-    bool anythingSent() const { return m_sentBytes > 0 || m_writing; }
+    // Whether bytes of the request may have left.
+    bool anythingSent() const { return m_sentBytes > 0; }
     // Whether an idle connection has neither ended nor received anything. It may have, although no handler has run yet.
     bool isQuiet();
     void close();
@@ -49,8 +49,10 @@
     void connect(Duration timeout);
     void onConnected(IoErrorCode ec);
     void beginRequest();
+    // Writes what the socket takes at once; waits if that is not all.
     void writeSome();
-    void onWritten(IoErrorCode ec, std::size_t n);
+    void awaitWritable();
+    void onWritable();
     void read();
     void onRead(IoErrorCode ec, std::size_t n);
     void parse();
@@ -73,7 +75,8 @@
     OutgoingRequest m_request;
     std::string m_serializedHead;
     std::size_t m_sentBytes = 0;
-    bool m_writing = false;
+    // A failure of the connection that a write has reported in place of a read.
+    IoErrorCode m_writeError;
     // Received since the request was begun and not passed on as part of the response's body.
     std::size_t m_bytesBesideBody = 0;
     boost::beast::flat_buffer m_buffer;
--- a/src/http/tests/clientfixture.h
+++ b/src/http/tests/clientfixture.h
@@ -41,10 +41,15 @@
 // A client, and an upstream that accepts connections and leaves the responses to the test.
 class ClientFixture {
 public:
-    ClientFixture()
+    // An upstream that does not read has a small receive buffer, so that a large request does not fit into it.
+    explicit ClientFixture(PeerReads upstreamReads = PeerReads::Yes)
         : client(EventClient::create(loop.io(), loop.clock()))
         , m_acceptor(loop.io(), { boost::asio::ip::make_address(uniqueLoopbackIp()), 0 })
+        , m_upstreamReads(upstreamReads)
     {
+        constexpr int SMALL_BUFFER_BYTES = 16 * 1024;
+        if (upstreamReads == PeerReads::No)
+            m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(SMALL_BUFFER_BYTES));
         address = { .ip = uniqueLoopbackIp(), .port = m_acceptor.local_endpoint().port() };
         accept();
     }
@@ -87,12 +92,13 @@
         m_acceptor.async_accept([this](boost::system::error_code ec, Tcp::socket socket) {
             if (ec)
                 return;
-            connections.push_back(std::make_unique<RawPeer>(loop, std::move(socket)));
+            connections.push_back(std::make_unique<RawPeer>(loop, std::move(socket), m_upstreamReads));
             accept();
         });
     }
 
     Tcp::acceptor m_acceptor;
+    const PeerReads m_upstreamReads;
 };
 
 }
--- a/src/http/tests/loopfixture.h
+++ b/src/http/tests/loopfixture.h
@@ -74,14 +74,18 @@
     SystemClock m_clock;
 };
 
+// Whether a peer reads what it is sent. One that does not fills the buffers of the connection.
+enum class PeerReads { Yes, No };
+
 // One connection of the peer. Collects all received bytes.
 class RawPeer {
 public:
-    RawPeer(EventLoop& loop, Tcp::socket socket)
+    RawPeer(EventLoop& loop, Tcp::socket socket, PeerReads reads = PeerReads::Yes)
         : m_loop(loop)
         , m_socket(std::move(socket))
     {
-        read();
+        if (reads == PeerReads::Yes)
+            read();
     }
     RawPeer(EventLoop& loop, const Endpoint& address)
         : m_loop(loop)
@@ -103,6 +107,21 @@
         boost::system::error_code ec;
         m_socket.close(ec);
     }
+    // Ends the sending side only.
+    void finishSending()
+    {
+        boost::system::error_code ec;
+        m_socket.shutdown(Tcp::socket::shutdown_send, ec);
+    }
+    // For a peer that did not read so far.
+    void startReading() { read(); }
+    // Reads what has arrived, once, without keeping it.
+    void readSome()
+    {
+        boost::system::error_code ec;
+        std::string buf(m_socket.available(ec), '\0');
+        boost::asio::read(m_socket, boost::asio::buffer(buf), ec);
+    }
     // Closes the connection with a TCP reset.
     void reset()
     {
