A response whose status HTTP does not define is a failure

What callers saw: an answer of an upstream with status 600 or 999 was passed on, with its signature.

Cause: the parser takes any three digits for a status, and each status below 200 counted as interim. 101 did too, although the client never asks for another protocol and what follows it is no HTTP.

Change: the response parser fails for a status outside 100 to 599 and for 101, as for other malformed heads: at once, possibly received, with the connection closed. Interim are 100 and 102 to 199; they are skipped as before.

--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr std::size_t READ_BUFFER_BYTES = 8 * 1024;
-constexpr int FIRST_FINAL_STATUS = 200;
 // Heads, framing, interim responses and responses to other requests, which no caller bounds.
 constexpr std::size_t MAX_BYTES_BESIDE_BODY = 1024 * 1024;
 
@@ -226,7 +225,7 @@
 
 void ClientConnection::onParsedHead(const ResponseHead& head)
 {
-    m_discardingResponse = head.status < FIRST_FINAL_STATUS;
+    m_discardingResponse = m_parser->isInterim();
     if (m_discardingResponse || !m_observer)
         return;
     applyKeepAlive(head);
--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -9,6 +9,17 @@
 // Memory that is allocated for a body when it is announced; a larger one gets more as it arrives.
 constexpr std::uint64_t MAX_INITIAL_BODY_BYTES = 64 * 1024;
 
+constexpr int MIN_STATUS = 100;
+constexpr int SWITCHING_PROTOCOLS = 101;
+constexpr int MIN_FINAL_STATUS = 200;
+constexpr int MAX_STATUS = 599;
+
+// Whether the status may answer a request that does not ask for another protocol.
+bool isExpectedStatus(int status)
+{
+    return status >= MIN_STATUS && status <= MAX_STATUS && status != SWITCHING_PROTOCOLS;
+}
+
 }
 
 RequestParser::RequestParser(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes)
@@ -86,11 +97,15 @@
     skip(isHeadResponse);
 }
 
+bool ResponseParser::isInterim() const { return m_head.status < MIN_FINAL_STATUS; }
+
 void ResponseParser::on_response_impl(int status, string_view reason, int, IoErrorCode& ec)
 {
     m_head.status = status;
     m_head.reason.assign(reason.data(), reason.size());
     ec = {};
+    if (!isExpectedStatus(status))
+        ec = boost::beast::http::error::bad_status;
 }
 
 void ResponseParser::on_field_impl(field, string_view name, string_view value, IoErrorCode& ec)
--- a/src/http/internal/messageparser.h
+++ b/src/http/internal/messageparser.h
@@ -48,7 +48,8 @@
     bool m_headerDone = false;
 };
 
-// Parses one response and passes its body to the callback as it arrives.
+// Parses one response and passes its body to the callback as it arrives. Fails where HTTP does not define the status,
+// or where the body is in a coding other than "chunked".
 class ResponseParser final : public boost::beast::http::basic_parser<false> {
 public:
     using OnHead = std::function<void(const ResponseHead&)>;
@@ -57,6 +58,8 @@
     ResponseParser(bool isHeadResponse, OnHead onHead, OnBodyData onBodyData);
 
     const ResponseHead& head() const { return m_head; }
+    // Whether another response to the same request follows.
+    bool isInterim() const;
 
 private:
     using verb = boost::beast::http::verb;
