A response in a transfer coding that the client does not undo is a failure

What callers saw: an answer with "Transfer-Encoding: gzip", or any other coding than "chunked", was passed on without that line. The body was what came until the connection ended, or what the Content-Length said; for "odd, chunked" the body was still in the other coding. It was not the upstream's.

Cause: Beast's parser looks for "chunked" alone and ignores a Transfer-Encoding that it does not know. The parser of requests has refused that since earlier; the parser of responses did not.

Change: the response parser fails for each Transfer-Encoding other than exactly "chunked". "identity" is taken as before, since it leaves the body as it is.

Evidence: invalid_head.unreadableFramingFails fails before ("passed on: Transfer-Encoding: gzip") and passes with the change. Handled before, tests kept: lengths that cannot be read, differ, or stand beside "chunked".

--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -99,6 +99,16 @@
 
 bool ResponseParser::isInterim() const { return m_head.status < MIN_FINAL_STATUS; }
 
+// "identity" leaves the body as it is.
+bool ResponseParser::hasUnknownCoding() const
+{
+    const auto& fields = m_head.headers.fields();
+    return std::any_of(fields.begin(), fields.end(), [](const HeaderField& it) {
+        return equalsIgnoringCase(it.name, "transfer-encoding") && !equalsIgnoringCase(it.value, "chunked")
+            && !equalsIgnoringCase(it.value, "identity");
+    });
+}
+
 void ResponseParser::on_response_impl(int status, string_view reason, int, IoErrorCode& ec)
 {
     m_head.status = status;
@@ -119,7 +129,10 @@
 {
     m_headerDone = true;
     ec = {};
-    m_onHead(m_head);
+    if (hasUnknownCoding())
+        ec = boost::beast::http::error::bad_transfer_encoding;
+    else
+        m_onHead(m_head);
 }
 
 std::size_t ResponseParser::on_body_impl(string_view body, IoErrorCode& ec)
--- a/src/http/internal/messageparser.h
+++ b/src/http/internal/messageparser.h
@@ -66,6 +66,8 @@
     using field = boost::beast::http::field;
     using string_view = boost::beast::string_view;
 
+    // Whether the body has a transfer coding that the parser does not undo.
+    bool hasUnknownCoding() const;
     void on_request_impl(verb, string_view, string_view, int, IoErrorCode&) override { }
     void on_response_impl(int status, string_view reason, int version, IoErrorCode& ec) override;
     void on_field_impl(field, string_view name, string_view value, IoErrorCode& ec) override;
--- a/src/http/tests/invalidhead_test.cpp
+++ b/src/http/tests/invalidhead_test.cpp
@@ -76,6 +76,22 @@
     checkInvalid(" HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
 }
 
+// Guards against a body that ends wherever the connection does because its length cannot be read, and against one in a
+// coding that is not undone.
+Test(invalid_head, unreadableFramingFails)
+{
+    for (const std::string field : { "Content-Length: x", "Content-Length: -4", "Content-Length: +4",
+             "Content-Length: 4x", "Content-Length: ", "Content-Length: 0x4", "Content-Length: 99999999999999999999999",
+             "Content-Length: 4\r\nContent-Length: 5", "Content-Length: 4, 5",
+             "Content-Length: 4\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 4",
+             "Transfer-Encoding: gzip", "Transfer-Encoding: odd", "Transfer-Encoding: odd\r\nContent-Length: 4",
+             "Content-Length: 4\r\nTransfer-Encoding: odd", "Transfer-Encoding: chunked, odd",
+             "Transfer-Encoding: odd, chunked", "Transfer-Encoding: chunked, chunked",
+             "Transfer-Encoding: odd\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked;q=1",
+             "Transfer-Encoding: \"chunked\"", "Transfer-Encoding: " })
+        checkInvalid("HTTP/1.1 200 OK\r\n" + std::string(field) + "\r\n\r\ngood", true);
+}
+
 Test(invalid_head, unusualHeadIsRead)
 {
     checkGood("HTTP/1.1 200 \r\nCONTENT-LENGTH:4\r\n\r\ngood");
