A response to an HTTP/1.0 caller that is broken off ends by a reset

What callers saw: a stream whose upstream broke off is aborted towards the caller. For a caller of HTTP/1.0 the end of the connection is the end of the response, and the connection ended regularly, so that the part looked complete. The same for a stream in progress, or not taken yet, when the server ends or gives up the connection.

Cause: abort() only closes the socket, which is enough where the last chunk is then missing.

Change: a connection that is closed before a response without framing has left it whole is reset.

Evidence: event_server.brokenOffHttp10ResponseResetsConnection and .http10ResponseOfEndingServerResetsConnection fail before ("End of file") and pass with the change; http10ResponseIsCloseDelimited, the regular end, passes before and after. Not covered: a process that is killed; the kernel ends its connections regularly.

--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -57,6 +57,7 @@
     if (!connection || m_ended)
         return;
     m_closeDelimited = m_http10 && !bodyBytes;
+    connection->m_closeDelimitedResponse = m_closeDelimited;
     m_chunked = !bodyBytes && !m_http10;
     std::string out = "HTTP/1.1 " + std::to_string(head.status) + " ";
     out.append(head.reason.empty() ? reasonPhrase(head.status) : head.reason).append("\r\n");
@@ -441,6 +442,10 @@
     if (m_context->memory)
         m_context->memory->remove(*this);
     IoErrorCode ec;
+    // A regular end would make the part that was sent look complete.
+    const bool isResponseIncomplete = m_exchange || m_unsentBytes > 0;
+    if (m_closeDelimitedResponse && isResponseIncomplete)
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
     m_socket.close(ec);
     m_parser.reset();
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -126,6 +126,8 @@
     std::size_t m_requestBytes = 0;
     std::deque<std::string> m_unsent;
     std::size_t m_unsentBytes = 0;
+    // The end of the response in progress, or of the last one, is the end of the connection.
+    bool m_closeDelimitedResponse = false;
     std::size_t m_buffersInWrite = 0;
     State m_state = State::ReadingHead;
     TimePoint m_lastProgress {};
--- a/src/http/tests/eventserver_test.cpp
+++ b/src/http/tests/eventserver_test.cpp
@@ -362,3 +362,43 @@
     cr_assert(caller.received().find("chunked") == std::string::npos);
     cr_assert(caller.received().ends_with("all"));
 }
+
+// Guards against a part of a response that passes for the whole: without framing, the end of the connection is the end
+// of the response.
+Test(event_server, brokenOffHttp10ResponseResetsConnection)
+{
+    ServerFixture it;
+    test::Tcp::socket caller(it.loop.io());
+    caller.connect({ boost::asio::ip::make_address(it.address.ip), it.address.port });
+    boost::asio::write(caller, boost::asio::buffer("GET / HTTP/1.0\r\n\r\n", 18));
+    Exchange& exchange = it.awaitExchange();
+    exchange.sendHead({ .status = STATUS_OK }, std::nullopt);
+    exchange.sendBodyData("half");
+    it.loop.runPending();
+    exchange.abort();
+    it.loop.runPending();
+    std::string received;
+    boost::system::error_code ec;
+    boost::asio::read(caller, boost::asio::dynamic_buffer(received), ec);
+    cr_assert(received.ends_with("half"));
+    cr_assert(ec == boost::asio::error::connection_reset, "%s", ec.message().c_str());
+}
+
+// As above, for a server that ends.
+Test(event_server, http10ResponseOfEndingServerResetsConnection)
+{
+    ServerFixture it;
+    test::Tcp::socket caller(it.loop.io());
+    caller.connect({ boost::asio::ip::make_address(it.address.ip), it.address.port });
+    boost::asio::write(caller, boost::asio::buffer("GET / HTTP/1.0\r\n\r\n", 18));
+    Exchange& exchange = it.awaitExchange();
+    exchange.sendHead({ .status = STATUS_OK }, std::nullopt);
+    exchange.sendBodyData("half");
+    it.loop.runPending();
+    it.server.reset();
+    it.loop.runPending();
+    std::string received;
+    boost::system::error_code ec;
+    boost::asio::read(caller, boost::asio::dynamic_buffer(received), ec);
+    cr_assert(ec == boost::asio::error::connection_reset, "%s", ec.message().c_str());
+}
