A success that says it has not run is not trusted without a signature

What callers saw: an upstream's answer with a status of success, without a signature, with X-Not-Executed, was passed on as a success. So was one with a content coding.

Cause: the word "not run" made any answer trusted, whatever its status; it is meant for refusals, which bear no signature.

Change: it makes only answers trusted that are no success. The attempt fails as for other unsigned answers.

--- a/src/entry/internal/requestflowanswers.cpp
+++ b/src/entry/internal/requestflowanswers.cpp
@@ -22,6 +22,14 @@
     return info.notExecuted && (info.status == STATUS_UNAVAILABLE || info.status == STATUS_TOO_MANY_REQUESTS);
 }
 
+// Whether the response is the upstream's own word. A success that says that the request has not run contradicts itself.
+bool isTrusted(const ResponseInfo& info)
+{
+    if (info.isSigned && !info.hasContentCoding)
+        return true;
+    return wasRefusedUnexecuted(info) || (info.notExecuted && !isSuccess(info.status));
+}
+
 // Whether the response may be the one to this attempt. Upstreams name the attempt in all responses, so that a refusal
 // which names none may be bytes behind the response to an earlier request on the same connection.
 bool belongsTo(const ResponseInfo& info, const AttemptId& attempt)
@@ -37,8 +45,7 @@
 {
     if (!belongsTo(info, m_request.attempt))
         return http::HeadVerdict::Skip;
-    const bool trusted = wasRefusedUnexecuted(info) || (info.isSigned && !info.hasContentCoding) || info.notExecuted;
-    if (!trusted) {
+    if (!isTrusted(info)) {
         m_actions.cancelAttempt();
         onAttemptUnusable(SendOutcome::Failed, "response unsigned or with a content coding", now);
         return http::HeadVerdict::Accept;
