--- a/src/entry/tests/foreignanswers_test.cpp
+++ b/src/entry/tests/foreignanswers_test.cpp
@@ -54,3 +54,19 @@
     cr_assert_eq(flow.actions.attempts.size(), 1);
     cr_assert_eq(flow.actions.localStatus, STATUS_BAD_GATEWAY);
 }
+
+// Guards against a success without a signature that is trusted because it says that the request has not run.
+Test(foreign_answers, unsignedSuccessThatClaimsNotToHaveRunIsNotForwarded)
+{
+    for (const bool hasContentCoding : { false, true }) {
+        Deployment it;
+        FlowUnderTest flow(it, Deployment::request("/non-idempotent/1"));
+        ResponseInfo response = successResponse();
+        response.notExecuted = true;
+        response.isSigned = hasContentCoding;
+        response.hasContentCoding = hasContentCoding;
+        flow.receiveHead(response);
+        cr_assert_eq(flow.actions.localStatus, STATUS_BAD_GATEWAY);
+        cr_assert(flow.actions.cancelled == 1 && flow.flow.isDone());
+    }
+}
