Bytes that begin no response fail at once

What callers saw: an upstream that sent bytes that are no HTTP, without the end of a line or with a line end alone, and kept the connection open was waited for until the attempt's time was over.

Cause: the parser reads nothing of a status line before it has arrived as a whole, and more bytes could always come.

Change: where the parser waits for more, the bytes that it has left are compared with the form of a status line, for both clients. A line that has been read is no longer compared.

Evidence: invalid_head.bytesThatBeginNoResponseFailAtOnce fails before (10 s until the test gives up) and passes with the change. invalid_head.responseInPiecesIsRead, every division of a response into two pieces and single bytes, passes, and fails if lines that were read are compared again. client.bytesThatBeginNoResponseFailAtOnce passed before: libcurl and the parser's check of the status end those calls.

--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -214,8 +214,12 @@
         m_buffer.consume(n);
         if (m_state != State::Busy)
             return;
-        if (ec == boost::beast::http::error::need_more)
+        if (ec == boost::beast::http::error::need_more) {
+            const auto rest = m_buffer.data();
+            if (!m_parser->mayContinueWith({ static_cast<const char*>(rest.data()), rest.size() }))
+                fail("invalid HTTP response: no status line");
             return;
+        }
         if (ec)
             return fail("invalid HTTP response: " + ec.message());
         if (m_parser->is_done())
--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -1,5 +1,7 @@
 #include "messageparser.h"
 
+#include "fireflyhaven/common/text.h"
+
 #include <algorithm>
 
 namespace fireflyhaven::http {
@@ -14,12 +16,30 @@
 constexpr int MIN_FINAL_STATUS = 200;
 constexpr int MAX_STATUS = 599;
 
+bool isDigit(char c) { return c >= '0' && c <= '9'; }
+
 // Whether the status may answer a request that does not ask for another protocol.
 bool isExpectedStatus(int status)
 {
     return status >= MIN_STATUS && status <= MAX_STATUS && status != SWITCHING_PROTOCOLS;
 }
 
+bool mayBeginResponse(std::string_view bytes)
+{
+    // Each digit stands for any digit.
+    constexpr std::string_view FORM = "HTTP/0.0 000";
+    constexpr std::size_t STATUS_DIGITS = 3;
+    const std::string_view begin = bytes.substr(0, FORM.size());
+    for (std::size_t n = 0; n < begin.size(); ++n) {
+        const bool matches = isDigit(FORM[n]) ? isDigit(begin[n]) : begin[n] == FORM[n];
+        if (!matches)
+            return false;
+    }
+    if (begin.size() < FORM.size())
+        return true;
+    return isExpectedStatus(parseNumber<int>(begin.substr(FORM.size() - STATUS_DIGITS)).value_or(0));
+}
+
 }
 
 RequestParser::RequestParser(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes)
@@ -97,6 +117,11 @@
     skip(isHeadResponse);
 }
 
+bool ResponseParser::mayContinueWith(std::string_view bytes) const
+{
+    return m_statusLineDone || mayBeginResponse(bytes);
+}
+
 bool ResponseParser::isInterim() const { return m_head.status < MIN_FINAL_STATUS; }
 
 // "identity" leaves the body as it is.
@@ -111,6 +136,7 @@
 
 void ResponseParser::on_response_impl(int status, string_view reason, int, IoErrorCode& ec)
 {
+    m_statusLineDone = true;
     m_head.status = status;
     m_head.reason.assign(reason.data(), reason.size());
     ec = {};
--- a/src/http/internal/messageparser.h
+++ b/src/http/internal/messageparser.h
@@ -57,6 +57,9 @@
 
     ResponseParser(bool isHeadResponse, OnHead onHead, OnBodyData onBodyData);
 
+    // Whether the bytes that the parser has left until more arrive can become a response. The parser itself reads
+    // nothing of a status line before it has arrived as a whole.
+    bool mayContinueWith(std::string_view bytes) const;
     const ResponseHead& head() const { return m_head; }
     // Whether another response to the same request follows.
     bool isInterim() const;
@@ -81,6 +84,7 @@
     ResponseHead m_head;
     OnHead m_onHead;
     OnBodyData m_onBodyData;
+    bool m_statusLineDone = false;
     bool m_headerDone = false;
 };
 
--- a/src/http/internal/responsereader.cpp
+++ b/src/http/internal/responsereader.cpp
@@ -38,8 +38,11 @@
         IoErrorCode ec;
         const std::size_t n = m_parser->put(boost::asio::buffer(m_pending), ec);
         m_pending.erase(0, n);
-        if (ec == boost::beast::http::error::need_more)
+        if (ec == boost::beast::http::error::need_more) {
+            if (!m_parser->mayContinueWith(m_pending))
+                m_failureReason = "invalid HTTP response: no status line";
             break;
+        }
         if (ec) {
             m_failureReason = "invalid HTTP response: " + ec.message();
         } else if (m_parser->is_done()) {
--- a/src/http/tests/client_test.cpp
+++ b/src/http/tests/client_test.cpp
@@ -108,6 +108,21 @@
         checkBroken(callWithResponse(bytes), bytes);
 }
 
+// Guards against waiting for the rest of what can be no response.
+Test(client, bytesThatBeginNoResponseFailAtOnce)
+{
+    for (const std::string bytes :
+        { "no HTTP at all\r\n", "HTTP/1.1 000 Odd\r\n", "HTTP/1.1 999 Odd\r\n", "HTTP/1.1 101 Odd\r\nX-Odd: 1\r\n" }) {
+        RawServer server([&](RawConnection& it) {
+            if (!it.readRequest(SMALL_BODY_BYTES))
+                return;
+            it.send(bytes);
+            it.awaitClose();
+        });
+        checkBroken(call(server.url()), bytes);
+    }
+}
+
 Test(client, statusOutsideTheDefinedRangeFails)
 {
     for (const std::string bytes :
--- a/src/http/tests/invalidhead_test.cpp
+++ b/src/http/tests/invalidhead_test.cpp
@@ -46,6 +46,15 @@
     }
 }
 
+// Guards against waiting for the rest of what can be no response.
+Test(invalid_head, bytesThatBeginNoResponseFailAtOnce)
+{
+    for (const std::string& bytes : { std::string("no HTTP"), std::string("\r\n"), std::string("HTTP 200"),
+             std::string("HTTP/1.1\t200 OK\r\n"), std::string("HTTP/1.1 000 Odd\r\n"), std::string("HTTP/1.1 999"),
+             std::string("HTTP/1.1 101 Odd\r\nX-Odd: 1\r\n"), std::string("\0", 1) })
+        checkInvalid(bytes);
+}
+
 // The client never asks for another protocol, so that what follows is no HTTP.
 Test(invalid_head, switchOfProtocolFails)
 {
@@ -92,6 +101,36 @@
         checkInvalid("HTTP/1.1 200 OK\r\n" + std::string(field) + "\r\n\r\ngood", true);
 }
 
+// A response may arrive in two pieces, whatever their sizes, and byte by byte.
+Test(invalid_head, responseInPiecesIsRead)
+{
+    const std::string bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: b\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n";
+    ClientFixture it;
+    int plays = 0;
+    const auto play = [&](const std::vector<std::string>& pieces) {
+        RecordingResponseObserver response;
+        const auto call = it.start(response);
+        RawPeer& upstream = it.awaitConnection();
+        it.loop.runUntil([&] { return upstream.count("\r\n\r\n") > plays; }, "the request arrives");
+        ++plays;
+        for (const std::string& piece : pieces) {
+            upstream.send(piece);
+            it.loop.io().restart();
+            it.loop.io().run_for(std::chrono::milliseconds(1));
+        }
+        it.loop.runUntil([&] { return response.isDone(); }, "the call is over");
+        cr_assert(response.completions == 1 && response.body == "good", "%s: %s", pieces.front().c_str(),
+            response.failureReason.c_str());
+    };
+    for (std::size_t n = 1; n < bytes.size(); ++n)
+        play({ bytes.substr(0, n), bytes.substr(n) });
+    std::vector<std::string> single;
+    for (const char c : bytes)
+        single.emplace_back(1, c);
+    play(single);
+}
+
 Test(invalid_head, unusualHeadIsRead)
 {
     checkGood("HTTP/1.1 200 \r\nCONTENT-LENGTH:4\r\n\r\ngood");
