--- a/src/entry/tests/peerrelay_test.cpp
+++ b/src/entry/tests/peerrelay_test.cpp
@@ -134,3 +134,32 @@
     cr_assert(page->value && page->value->era == store::Era(2) && page->value->records.size() == 2);
     cr_assert(page->value->eraState == store::EraState::Restoring, "what an unverified host tells earlier builds");
 }
+
+// Guards against a part of another host's answer that is taken for its records.
+Test(peerRelay, brokenAnswerIsAFailure)
+{
+    for (const std::string bytes :
+        { "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: odd\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\npart",
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart" }) {
+        EventLoop loop;
+        http::test::Tcp::acceptor acceptor(
+            loop.io(), { boost::asio::ip::make_address(http::test::uniqueLoopbackIp()), 0 });
+        RelayClient client(loop.io(), loop.clock());
+        std::optional<store::StoreError> error;
+        client.readNewest(
+            { .ip = http::test::uniqueLoopbackIp(), .port = acceptor.local_endpoint().port() }, store::Topic::Operator,
+            SnapshotKind::Any, [](std::size_t) {},
+            [&](const auto& outcome) {
+                cr_assert_not(outcome.value.has_value());
+                error = outcome.error;
+            });
+        http::test::RawPeer host(loop, acceptor.accept());
+        host.await("\r\n\r\n");
+        host.send(bytes);
+        loop.runPending();
+        host.reset();
+        loop.runUntil([&] { return error.has_value(); }, "the call has an outcome");
+        cr_assert(error == store::StoreError::NotExecuted || error == store::StoreError::Malformed);
+    }
+}
--- a/src/http/tests/rawserver.h
+++ b/src/http/tests/rawserver.h
@@ -44,12 +44,6 @@
         m_received.erase(0, requestBytes);
         return true;
     }
-    // Reads the given number of bytes.
-    void readBytes(std::size_t n)
-    {
-        m_received.clear();
-        while (m_received.size() < n && readMore()) { }
-    }
     void send(const std::string& text)
     {
         boost::system::error_code ec;
