Test: the listeners of the host of strangers.* have different ports

Its log: "cannot listen on 127.84.118.11:34963"; its settings name that port for callers and for the directory.

Cause: the fixture took three free ports one after the other, and each was free again before the next was taken. Neither the load nor the product had a part in it.

Change: the three are taken together, as in the fixture of the entry hosts. No check, crowd or bound changes.

--- a/tests/strangers/hostprocess.cpp
+++ b/tests/strangers/hostprocess.cpp
@@ -199,9 +199,7 @@
 }
 
 HostProcess::HostProcess()
-    : m_frontend(m_loop.freeEndpoint(http::test::uniqueLoopbackIp(11)))
-    , m_readiness(m_loop.freeEndpoint(m_frontend.ip))
-    , m_directory(m_loop.freeEndpoint(m_frontend.ip))
+    : m_listeners(m_loop.freeEndpoints<3>(http::test::uniqueLoopbackIp(11)))
     , m_store(m_loop.freeEndpoint(http::test::uniqueLoopbackIp(2)))
     , m_upstream(m_loop.freeEndpoint(http::test::uniqueLoopbackIp(3)))
 {
@@ -239,11 +237,12 @@
 
 std::string HostProcess::settings() const
 {
-    const std::string& ip = m_frontend.ip;
+    const auto& [frontend, readiness, directory] = m_listeners;
+    const std::string& ip = frontend.ip;
     return "node_name=edge-1\nrole=entry\nmachine_class=edge\nserves=edge,directory,control\nip=" + ip
-        + "\nzone=a\nregion=r\nzones.a=r\nlisten.frontend=" + m_frontend.text()
-        + "\nlisten.readiness=" + m_readiness.text() + "\nlisten.directory=" + m_directory.text()
-        + "\nport_range=" + std::to_string(FIRST_PEER_PORT) + "," + std::to_string(FIRST_PEER_PORT + 15)
+        + "\nzone=a\nregion=r\nzones.a=r\nlisten.frontend=" + frontend.text() + "\nlisten.readiness=" + readiness.text()
+        + "\nlisten.directory=" + directory.text() + "\nport_range=" + std::to_string(FIRST_PEER_PORT) + ","
+        + std::to_string(FIRST_PEER_PORT + 15)
         + "\nbootstrap=true\nlimits.cpu_fraction=0.25\nlimits.cpu_cores=1\nlimits.memory_mb="
         + std::to_string(MEMORY_MB) + "\nlimits.max_fds=" + std::to_string(MAX_DESCRIPTORS)
         + "\nheartbeat_ms=1200\nbounds.contact_ms=3000\nbounds.config_apply_ms=2000\nbounds.drain_ms=2000\n"
@@ -288,7 +287,7 @@
     constexpr int MAX_UNCHANGED = 20;
     std::size_t last = 0;
     for (int unchanged = 0; unchanged < MAX_UNCHANGED; std::this_thread::sleep_for(INTERVAL)) {
-        const std::size_t unread = unreadBytesAt(m_frontend) + unreadBytesAt(m_directory);
+        const std::size_t unread = unreadBytesAt(frontend()) + unreadBytesAt(directory());
         unchanged = std::exchange(last, unread) == unread ? unchanged + 1 : 0;
     }
 }
@@ -296,7 +295,7 @@
 bool HostProcess::answersOrdinaryRequest() const
 {
     for (int n = 0; n < MAX_TRIES; ++n) {
-        const int fd = connectTo(m_frontend);
+        const int fd = connectTo(frontend());
         const bool sent = fd >= 0
             && sendAll(fd, requestHead("POST", "/order/x") + "Connection: close\r\nContent-Length: 5\r\n\r\norder");
         const std::string answer = sent ? receiveAll(fd) : "";
--- a/tests/strangers/hostprocess.h
+++ b/tests/strangers/hostprocess.h
@@ -3,6 +3,7 @@
 #include "../../src/http/tests/loopfixture.h"
 #include "fireflyhaven/http/eventserver.h"
 
+#include <array>
 #include <atomic>
 #include <filesystem>
 #include <memory>
@@ -42,8 +43,8 @@
     HostProcess& operator=(const HostProcess&) = delete;
     ~HostProcess();
 
-    const http::Endpoint& frontend() const { return m_frontend; }
-    const http::Endpoint& directory() const { return m_directory; }
+    const http::Endpoint& frontend() const { return m_listeners[0]; }
+    const http::Endpoint& directory() const { return m_listeners[2]; }
     bool isRunning();
     // Largest resident memory of the process so far.
     std::size_t peakMemoryBytes() const;
@@ -59,9 +60,8 @@
     std::string settings() const;
 
     http::test::EventLoop m_loop;
-    const http::Endpoint m_frontend;
-    const http::Endpoint m_readiness;
-    const http::Endpoint m_directory;
+    // For callers, readiness and the directory, all different.
+    const std::array<http::Endpoint, 3> m_listeners;
     const http::Endpoint m_store;
     const http::Endpoint m_upstream;
     std::unique_ptr<StoreStandIn> m_storeStandIn;
