Review: cases in the order of their weight; case 12, a deadly request that comes seldom

Cause: crashes count as evidence for 30 s only, so that a request that comes less often than every 15 s is never refused. The crowd is case 13 now, the broken streams 14, the slow readers 15.

--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -107,6 +107,11 @@
     // Takes its entry out of the store without a word, and goes on serving. Returns when the store has accepted it.
     void unregister();
     void stop();
+    // Ends without a word: closes its socket and all connections, and writes nothing any more. Not to be called by a
+    // handler, which returns when its connection is closed.
+    void crash();
+    // Starts again under its id after a crash; nothing is known of before.
+    void restart();
 
 private:
     void beat();
@@ -118,6 +123,7 @@
     Work m_work;
     std::mutex m_mutex;
     bool m_registered = true;
+    long m_born = 0;
     std::string m_phase = "ready";
     int m_sequence = 0;
     std::atomic<bool> m_stopped = false;
