--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,11 +9,11 @@
     g++ "${flags[@]}" -c "review/standins-3/$source.cpp" -o "target/review-3/$source.o" &
 done
 for folder in review/1[1-5]; do
-    [ -e "$folder/case.cpp" ] && g++ "${flags[@]}" -c "$folder/case.cpp" -o "target/review-3/case-${folder##*/}.o" &
+    [ -e "$folder/program.cpp" ] && g++ "${flags[@]}" -c "$folder/program.cpp" -o "target/review-3/case-${folder##*/}.o" &
 done
 wait
 for folder in review/1[1-5]; do
-    [ -e "$folder/case.cpp" ] || continue
+    [ -e "$folder/program.cpp" ] || continue
     g++ -pthread target/review-3/{net,store,deployment}.o "target/review-3/case-${folder##*/}.o" \
         -o "target/review-3/case-${folder##*/}"
 done
