--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -17,8 +17,9 @@
 namespace {
 
 constexpr int HEARTBEAT_MS = 1200;
-// Frontend, readiness, directory, control and sixteen ports between hosts.
+// Frontend, readiness, directory, control, metrics and fifteen ports between hosts.
 constexpr int PORTS = 20;
+constexpr int METRICS_OFFSET = 4;
 
 long unixMs() { return std::chrono::duration_cast<Ms>(std::chrono::system_clock::now().time_since_epoch()).count(); }
 
@@ -136,7 +137,7 @@
     all["listen.readiness"] = at(1);
     all["listen.directory"] = at(2);
     all["listen.control_plane"] = at(3);
-    all["port_range"] = std::to_string(m_port + 4) + "," + std::to_string(m_port + PORTS - 1);
+    all["port_range"] = std::to_string(m_port + METRICS_OFFSET + 1) + "," + std::to_string(m_port + PORTS - 1);
     for (std::size_t n = 0; n < std::min<std::size_t>(3, m_ips.size()); ++n)
         all["seeds"] += (n > 0 ? "," : "") + m_ips[n] + ":" + std::to_string(m_port + 3);
     all["bootstrap"] = "true";
@@ -153,6 +154,8 @@
     const std::string settings = m_folder + "/node-" + std::to_string(host) + ".conf";
     const std::string log = m_folder + "/host-" + std::to_string(host) + ".log";
     std::ofstream(settings) << settingsOf(host);
+    // The deploy file sets a fixed port, which may be taken on the machine that runs the case.
+    const std::string metrics = std::to_string(m_port + METRICS_OFFSET);
     const pid_t parent = getpid();
     const pid_t pid = fork();
     if (pid == 0) {
@@ -163,7 +166,7 @@
         dup2(out, STDOUT_FILENO);
         dup2(out, STDERR_FILENO);
         setenv("FIREFLYHAVEN_NODE_FILE", settings.c_str(), 1);
-        setenv("FIREFLYHAVEN_METRICS_PORT", "9464", 1);
+        setenv("FIREFLYHAVEN_METRICS_PORT", metrics.c_str(), 1);
         execl("target/apps/fireflyhavend", "target/apps/fireflyhavend", static_cast<char*>(nullptr));
         _exit(127);
     }
