--- a/review/14/program.cpp
+++ b/review/14/program.cpp
@@ -156,6 +156,8 @@
     deployment.signal(0, SIGTERM);
     for (std::thread& it : callers)
         it.join();
+    deployment.store().put("keyed.op", "evacuate/zone-b", "");
+    record.line("operator: zone-b is taken back");
     while (deployment.isRunning(0) && record.now() < stoppedAt + GRACE.count())
         std::this_thread::sleep_for(Ms(20));
     int cut = 0;
