Keys are asked for wherever the configuration has a list of tenants

Cause: Catalog::requiresApiKeys read the size of the list, and the decoder left out what it could not read, so that an empty or malformed list was a configuration without keys.

Change: whether keys are asked for is a field of the configuration, set by the presence of the list. What cannot be read grants nothing, is named in the log without its value, and counted by a gauge. A request that waited without a key is asked for one where a newer configuration asks for it.

--- a/include/fireflyhaven/catalog/catalog.h
+++ b/include/fireflyhaven/catalog/catalog.h
@@ -57,7 +57,7 @@
     }
     // No value where the key belongs to no workspace.
     std::optional<Caller> callerOf(std::string_view key) const;
-    bool requiresApiKeys() const { return !m_configuration.workspaces.empty(); }
+    bool requiresApiKeys() const { return m_configuration.requiresApiKeys; }
 
     void onRollout(const RolloutOrder& order, TimePoint now);
     void onRolloutWithdrawn(const ServiceName& service);
--- a/include/fireflyhaven/catalog/types/configuration.h
+++ b/include/fireflyhaven/catalog/types/configuration.h
@@ -96,8 +96,13 @@
     ConfigurationVersion version;
     std::vector<Route> routes;
     std::vector<Service> services;
+    // Whether requests need an API key, however many workspaces are listed and readable.
+    bool requiresApiKeys = false;
     std::vector<Workspace> workspaces;
     CallerLimits callerLimits;
+    // Paths of the entries that grant nothing because they cannot be read, for the log; without their values, which may
+    // be keys.
+    std::vector<std::string> unreadableEntries;
 };
 
 // The operator's order to move a service to another version of its software within the duration.
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -102,6 +102,9 @@
     void start(TimePoint now);
     // Sets the route and the caller; returns false if the request was answered because it cannot be routed.
     bool admit(TimePoint now);
+    // Whether the request needs an API key by the present configuration.
+    bool needsCaller() const;
+    // Sets the caller, or rejects the request and returns false.
     bool authenticate(TimePoint now);
     // Sends the request, queues it, or refuses it.
     void dispatch(TimePoint now);
--- a/src/catalog/tests/catalog_test.cpp
+++ b/src/catalog/tests/catalog_test.cpp
@@ -101,6 +101,17 @@
     cr_assert(it.callerOf("k2").has_value());
 }
 
+// Guards against a configuration that lists no workspace any more and lets everybody in (review/11).
+Test(catalog, keysAreAskedForWithoutWorkspaces)
+{
+    Catalog it;
+    cr_assert_not(it.requiresApiKeys());
+    it.onConfiguration({ .version = ConfigurationVersion(1), .requiresApiKeys = true });
+    cr_assert(it.requiresApiKeys());
+    it.onConfiguration({ .version = ConfigurationVersion(2) });
+    cr_assert_not(it.requiresApiKeys());
+}
+
 Test(catalog, minTargetLatencyCoversAllRoutesOfService)
 {
     Catalog it;
--- a/src/entry/internal/catalogsync.cpp
+++ b/src/entry/internal/catalogsync.cpp
@@ -2,6 +2,8 @@
 
 #include "fireflyhaven/telemetry/logevent.h"
 
+#include <algorithm>
+
 namespace fireflyhaven::entry {
 
 namespace {
@@ -418,6 +420,19 @@
     return true;
 }
 
+void CatalogSync::logUnreadableEntries(const catalog::Configuration& configuration)
+{
+    constexpr std::size_t MAX_NAMED_ENTRIES = 8;
+    const std::vector<std::string>& entries = configuration.unreadableEntries;
+    if (entries.empty())
+        return;
+    const std::vector<std::string> named(
+        entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(std::min(entries.size(), MAX_NAMED_ENTRIES)));
+    telemetry::logEvent(spdlog::level::warn, "configuration_partly_unreadable",
+        { { "configuration", configuration.version.value() }, { "unreadable_entries", entries.size() },
+            { "entries", named } });
+}
+
 void CatalogSync::applyConfiguration(Feed& feed, catalog::Configuration configuration)
 {
     catalog::Catalog& catalog = m_context.catalog;
@@ -430,6 +445,7 @@
             { "from", feed.origin.name() }, { "source_age_ms", feed.origin.age.count() },
             { "received_bytes", feed.receivedBytes }, { "transfer_ms", (feed.answeredAt - feed.firstByteAt).count() },
             { "decode_ms", (m_context.clock.now() - feed.answeredAt).count() } });
+    logUnreadableEntries(catalog.configuration());
     m_context.listener.onConfiguration();
 }
 
--- a/src/entry/internal/catalogsync.h
+++ b/src/entry/internal/catalogsync.h
@@ -146,6 +146,8 @@
     // Whether the store may have lost records that this host has never read.
     bool mayHaveMissedRecords(const Feed& feed) const;
     void applyConfiguration(Feed& feed, catalog::Configuration configuration);
+    // Names the entries that grant nothing because they cannot be read.
+    static void logUnreadableEntries(const catalog::Configuration& configuration);
     bool applyUpstreamRecord(const store::KeyedRecord& record);
     bool isAfterOutage(const Feed& feed) const;
     const store::KeyedFeed* feedOf(store::Topic topic) const;
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -57,18 +57,22 @@
         enqueueOrRefuse(now);
 }
 
-// The key may have been revoked, or have passed to another workspace, while the request waited.
+// The key may have been revoked, or have passed to another workspace, while the request waited; or a key is needed only
+// since then.
 bool RequestFlow::keyIsValid(TimePoint now)
 {
-    if (!m_caller)
+    if (!m_caller && !needsCaller())
         return true;
-    const auto caller = m_context.catalog.callerOf(*m_request.key);
+    if (!m_caller && m_sends == 0)
+        return authenticate(now);
+    const auto caller = m_request.key ? m_context.catalog.callerOf(*m_request.key) : std::nullopt;
     if (!caller || !m_context.host.mayAcceptKeys(now)) {
         failRequest("API key revoked or no longer confirmed", now);
         return false;
     }
     // What has run for one workspace is not continued for another.
-    if (caller->workspace != m_caller->workspace && m_sends > 0) {
+    const bool changed = !m_caller || caller->workspace != m_caller->workspace;
+    if (changed && m_sends > 0) {
         failRequest("API key belongs to another workspace now", now);
         return false;
     }
--- a/src/entry/internal/requestflowadmission.cpp
+++ b/src/entry/internal/requestflowadmission.cpp
@@ -96,9 +96,11 @@
         respondLocally(FlowStep::Refused, STATUS_UNAVAILABLE, Duration(0), "host is draining", now);
         return false;
     }
-    return !catalog.requiresApiKeys() || m_route->anonymous || authenticate(now);
+    return !needsCaller() || authenticate(now);
 }
 
+bool RequestFlow::needsCaller() const { return m_context.catalog.requiresApiKeys() && !m_route->anonymous; }
+
 bool RequestFlow::authenticate(TimePoint now)
 {
     if (!m_context.host.mayAcceptKeys(now)) {
--- a/src/entry/internal/statuspages.cpp
+++ b/src/entry/internal/statuspages.cpp
@@ -65,6 +65,8 @@
     metrics.set("connections_ended_for_memory", static_cast<double>(memory.endedConnections()));
     metrics.set("hosts_live", static_cast<double>(m_context.fleetLink.hosts().live(now).size() + 1));
     metrics.set("configuration_version", static_cast<double>(m_context.catalog.version().value()));
+    metrics.set("configuration_unreadable_entries",
+        static_cast<double>(m_context.catalog.configuration().unreadableEntries.size()));
     if (const auto confirmed = m_context.catalogSync.operatorConfirmedAt())
         metrics.set(
             "configuration_age_seconds", static_cast<double>((now - *confirmed).count()) * SECONDS_PER_MILLISECOND);
--- a/src/entry/tests/flowfixture.h
+++ b/src/entry/tests/flowfixture.h
@@ -147,6 +147,7 @@
         catalog.onConfiguration({ .version = ConfigurationVersion(1),
             .routes = { stream, nonIdempotent, idempotent, urgent, anonymousRoute },
             .services = { engineService, { .name = plainServiceName, .maxConnections = 100 } },
+            .requiresApiKeys = true,
             .workspaces = { { .id = WorkspaceId("w"), .keys = { "key" } } } });
         for (int n = 0; n < 3; ++n) {
             add("e" + std::to_string(n), engineServiceName, 64);
