What cannot be read in a configuration permits nothing

An empty or unreadable list of models let the caller choose any; a negative body limit wrapped to one without effect; an unreadable weight counted as 1; a service whose figures could not be read had no limit of connections and no cold start.

--- a/include/fireflyhaven/catalog/types/configuration.h
+++ b/include/fireflyhaven/catalog/types/configuration.h
@@ -42,7 +42,9 @@
     // 0 is the most urgent.
     int priority = 5;
     std::vector<WeightedService> services;
-    // Models that may serve the request, smallest first; empty where the caller names the model.
+    // Whether this router names the model, out of `models`; otherwise the caller does.
+    bool hasModelList = false;
+    // Models that may serve the request, smallest first. None may where the list has no readable entry.
     std::vector<ModelName> models;
     int maxAttempts = 1;
     // Requests need no API key.
@@ -100,6 +102,8 @@
     bool requiresApiKeys = false;
     std::vector<Workspace> workspaces;
     CallerLimits callerLimits;
+    // Whether some of the caller limits are defaults because they cannot be read.
+    bool hasUnreadableLimits = false;
     // Paths of the entries that grant nothing because they cannot be read, for the log; without their values, which may
     // be keys.
     std::vector<std::string> unreadableEntries;
--- a/src/catalog/internal/catalog.cpp
+++ b/src/catalog/internal/catalog.cpp
@@ -9,6 +9,15 @@
 namespace {
 // A route whose target latency is this many times the shortest one of its service can give way to others.
 constexpr int DEFERRABLE_TARGET_FACTOR = 4;
+
+CallerLimits stricterOf(const CallerLimits& a, const CallerLimits& b)
+{
+    return { .maxHeaderBytes = std::min(a.maxHeaderBytes, b.maxHeaderBytes),
+        .maxBodyBytes = std::min(a.maxBodyBytes, b.maxBodyBytes),
+        .headerTimeout = std::min(a.headerTimeout, b.headerTimeout),
+        .idleTimeout = std::min(a.idleTimeout, b.idleTimeout) };
+}
+
 }
 
 ConfigurationChange Catalog::onConfiguration(Configuration configuration)
@@ -17,6 +26,9 @@
         return ConfigurationChange::None;
     if (m_configured && configuration.version < m_configuration.version)
         return ConfigurationChange::Older;
+    // What cannot be read permits no more than before.
+    if (m_configured && configuration.hasUnreadableLimits)
+        configuration.callerLimits = stricterOf(configuration.callerLimits, m_configuration.callerLimits);
     m_configuration = std::move(configuration);
     m_configured = true;
     m_routes = RouteTable(m_configuration.routes);
--- a/src/catalog/tests/catalog_test.cpp
+++ b/src/catalog/tests/catalog_test.cpp
@@ -112,6 +112,20 @@
     cr_assert_not(it.requiresApiKeys());
 }
 
+// Guards against limits that cannot be read and are looser than those before.
+Test(catalog, unreadableLimitsPermitNoMoreThanBefore)
+{
+    Catalog it;
+    const CallerLimits strict { .maxHeaderBytes = 100, .maxBodyBytes = 1000, .headerTimeout = Duration(50) };
+    it.onConfiguration({ .version = ConfigurationVersion(1), .callerLimits = strict });
+    it.onConfiguration({ .version = ConfigurationVersion(2), .hasUnreadableLimits = true });
+    cr_assert_eq(it.configuration().callerLimits.maxHeaderBytes, 100);
+    cr_assert_eq(it.configuration().callerLimits.maxBodyBytes, 1000);
+    cr_assert(it.configuration().callerLimits.headerTimeout == Duration(50));
+    it.onConfiguration({ .version = ConfigurationVersion(3) });
+    cr_assert_eq(it.configuration().callerLimits.maxBodyBytes, CallerLimits().maxBodyBytes);
+}
+
 Test(catalog, minTargetLatencyCoversAllRoutesOfService)
 {
     Catalog it;
--- a/src/entry/internal/requestflowadmission.cpp
+++ b/src/entry/internal/requestflowadmission.cpp
@@ -87,6 +87,10 @@
             catalogCurrent ? std::nullopt : std::optional(MIN_RETRY_AFTER), "no matching route", now);
         return false;
     }
+    if (m_route->hasModelList && m_route->models.empty()) {
+        refuse(STATUS_UNAVAILABLE, MIN_RETRY_AFTER, "the route's list of models permits none", now);
+        return false;
+    }
     if (m_context.host.isBehindOthers(now)) {
         // The route may have been changed or dropped.
         refuse(STATUS_UNAVAILABLE, MIN_RETRY_AFTER, "configuration not confirmed recently enough", now);
--- a/src/entry/tests/admission_test.cpp
+++ b/src/entry/tests/admission_test.cpp
@@ -44,3 +44,15 @@
     cr_assert(flows.back()->actions.attempts.empty());
     cr_assert_eq(flows.back()->actions.localStatus, STATUS_UNAUTHORIZED);
 }
+
+// Guards against callers that choose any model where the list of permitted ones cannot be read.
+Test(admission, routeWhoseModelListIsEmptyPermitsNoModel)
+{
+    Deployment it;
+    setConfiguration(it, [](catalog::Configuration& next) { next.routes.front().models.clear(); });
+    CallerRequest request = Deployment::request("/stream/1");
+    request.model = "l";
+    FlowUnderTest flow(it, request);
+    cr_assert(flow.actions.attempts.empty());
+    cr_assert_eq(flow.actions.localStatus, STATUS_UNAVAILABLE);
+}
--- a/src/entry/tests/flowfixture.h
+++ b/src/entry/tests/flowfixture.h
@@ -121,6 +121,7 @@
             .name = RouteName("stream"), .host = "h", .pathPrefix = "/stream/", .kind = RouteKind::Streaming
         };
         stream.services = { { .service = engineServiceName } };
+        stream.hasModelList = true;
         stream.models = modelNames;
         stream.maxAttempts = maxAttempts;
         stream.resumable = true;
