A silent upstream is given up only for one that can begin at once

Requests that waited for a head got 502.

Cause: RequestFlow::onProgressTimeout asked whether any upstream can take the request with the present one among the candidates, gave the attempt up, and then looked without it.

Change: the next attempt takes its upstream first, and only then the present one is closed and the request goes there. Whatever says no leaves the present attempt open, and another upstream is looked for every 0.25 s: a healthy one first, then one that is due for a probe. A request whose new upstream is down may return to the silent one. The kept attempt counts against its upstream as one that is given up did. The same for an answer of low confidence that is dropped for a larger model, and a body that arrives in pieces no longer counts as silence.

--- a/include/fireflyhaven/balancing/balancer.h
+++ b/include/fireflyhaven/balancing/balancer.h
@@ -100,6 +100,9 @@
     // the upstream that a permit was granted for if it may still take the request, and no other limited one.
     std::optional<Ticket> pickUpstream(const UpstreamRequirements& requirements, int hostCount, TimePoint now,
         const std::optional<UpstreamId>& permitted = std::nullopt);
+    // Whether `pickUpstream` would pick an upstream.
+    bool canSend(const UpstreamRequirements& requirements, int hostCount, TimePoint now,
+        const std::optional<UpstreamId>& permitted = std::nullopt);
     // Whether any upstream matches the requirements and is not backed off at `startBy`, whatever its load.
     bool isServable(const UpstreamRequirements& requirements, TimePoint startBy, TimePoint now) const;
     // When the first permit may be free if all upstreams that match the requirements have used up their request limits;
@@ -116,6 +119,8 @@
     void onLoadReport(const Ticket& ticket, const LoadReport& load, TimePoint now);
     void onFirstToken(Ticket& ticket, TimePoint now);
     void onEnded(const Ticket& ticket, SendOutcome outcome, TimePoint now);
+    // The ticket's attempt makes no progress, and goes on because no other upstream can take the request.
+    void onSilent(const Ticket& ticket, TimePoint now);
     // The upstream announced that it drains: this host sends nothing more to its present incarnation.
     void onDraining(const Ticket& ticket, TimePoint now);
     // The upstream rejected a request and asked for no more requests for the duration `wait`.
@@ -192,6 +197,9 @@
     // The same with the limited upstreams that may have a permit to give until then.
     std::vector<Candidate> candidatesWithPermits(
         const UpstreamRequirements& requirements, int hostCount, TimePoint until, TimePoint now);
+    // Upstreams that may take a request now; limited ones only if they are permitted.
+    std::vector<Candidate> candidatesWithPermission(const UpstreamRequirements& requirements, int hostCount,
+        TimePoint now, const std::optional<UpstreamId>& permitted);
     std::optional<RequestRate> limitOf(const catalog::UpstreamState& upstream) const;
     bool maySendTo(const catalog::UpstreamState& it, LocalState& state, int hostCount, TimePoint now);
     void scoreCandidates(std::vector<Candidate>& candidates, const UpstreamRequirements& requirements, TimePoint now);
@@ -210,6 +218,8 @@
         const Candidate& candidate, const UpstreamRequirements& requirements, int hostCount, TimePoint now);
     // Counts the time in which the request has generated tokens as work of the upstream.
     void recordDecode(const Ticket& ticket, TimePoint now);
+    // Counts an attempt without an answer against the upstream, and for the other hosts once it is confirmed.
+    static void recordUnanswered(LocalState& state, ServiceHealth& service, TimePoint now);
     // Counts the unanswered attempts that are not due to a cut of this host.
     void confirmFailures(TimePoint now);
     static Duration pendingTime(const LocalState& state, TimePoint now);
--- a/include/fireflyhaven/balancing/types/upstreamrequirements.h
+++ b/include/fireflyhaven/balancing/types/upstreamrequirements.h
@@ -14,6 +14,15 @@
     friend bool operator==(const PromptPart&, const PromptPart&) = default;
 };
 
+// Which upstreams a request may go to, by what is known of their health.
+enum class UpstreamCondition {
+    // Also ejected ones, if no other may take the request.
+    Any,
+    // Not ejected, or due for a probe.
+    Usable,
+    Healthy,
+};
+
 // What a request requires of the upstream that serves it.
 struct UpstreamRequirements {
     ServiceName service;
@@ -25,6 +34,7 @@
     std::optional<UpstreamId> requiredUpstream;
     // Upstreams tried already for this request.
     std::vector<UpstreamId> excludedUpstreams;
+    UpstreamCondition condition = UpstreamCondition::Any;
     // Empty for services without models.
     catalog::ModelName model;
     std::uint32_t promptTokens = 0;
--- a/include/fireflyhaven/balancing/upstreamhealth.h
+++ b/include/fireflyhaven/balancing/upstreamhealth.h
@@ -77,6 +77,7 @@
     void onSent() { ++m_inFlight; }
     void onEnded() { m_inFlight = std::max(0, m_inFlight - 1); }
 
+    bool isHealthy() const { return m_ejectedUntil == TimePoint {}; }
     // Whether new requests may go to it.
     bool isUsable(TimePoint now) const;
     // Whether an ejection has elapsed and probes have not yet succeeded.
--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -111,10 +111,19 @@
     // Fails the request and returns false if its key is no longer valid. A request that was not sent yet follows its
     // key to another workspace.
     bool keyIsValid(TimePoint now);
+    // Who holds the request's key by the present configuration; no value if nobody does.
+    std::optional<catalog::Caller> presentCaller() const;
     // Ends the request and returns false if its time is over or its caller has left.
     bool isAwaited(TimePoint now);
     // Ends the request and returns false if it is not awaited, its key is no longer valid, or it crashes upstreams.
     bool maySend(TimePoint now);
+    // Ends the request and returns true if it is one that crashes upstreams.
+    bool failIfItCrashesUpstreams(TimePoint now);
+    // Whether the request may be sent again while its present attempt is open.
+    bool maySendBeside(TimePoint now);
+    // Takes an upstream for another attempt, while the present one is open; no value if none can begin.
+    std::optional<balancing::Ticket> pickBeside(const balancing::UpstreamRequirements& requirements,
+        const std::optional<UpstreamId>& permitted, TimePoint now);
     // Sends the request or asks for the permit to; returns false if neither is possible.
     bool trySend(TimePoint now);
     // Sends the request to the upstream that a permit was granted for, or to one without a limit; returns false if none
@@ -135,17 +144,23 @@
     // Handles an attempt that ended without a response that can be forwarded.
     void onAttemptUnusable(balancing::SendOutcome outcome, std::string_view reason, TimePoint now);
     void resend(std::string_view reason, const std::optional<UpstreamId>& permitted, TimePoint now);
-    // Replaces an attempt that makes no progress if another attempt may follow it.
     // Answers the request as timed out, or as not run.
     void onTimeOver(TimePoint now);
+    // Replaces an attempt that makes no progress if another one can begin, or asks for the permit to.
     void onProgressTimeout(TimePoint now);
-    void replaceAttempt(const std::optional<UpstreamId>& permitted, TimePoint now);
+    // Returns false if no other attempt can begin; the present one then goes on.
+    bool replaceAttempt(const std::optional<UpstreamId>& permitted, TimePoint now);
+    // Requirements on an upstream that replaces the present one, which makes no progress.
+    balancing::UpstreamRequirements requirementsBesideSilent(TimePoint now) const;
+    // Cancels an answer of which the caller has received nothing.
+    void dropAnswer(TimePoint now);
     // Starts to forward or to buffer the response whose head has arrived.
     void beginAnswer(TimePoint now);
     // Goes on with the answer that was held back for a larger model.
     void releaseHeldAnswer(TimePoint now);
     bool holdsWholeAnswer() const { return m_stage == Stage::HoldingAnswer && m_heldAnswerEnded; }
-    void onStreamProgress(TimePoint now);
+    // The open attempt has made progress: its replacement is no longer wanted, and its time begins anew.
+    void onProgress(TimePoint now);
     // Applies the draining, backoff and limit notices that the upstream sent with its response.
     void applyUpstreamNotices(TimePoint now);
     TimePoint nextEventDeadline(TimePoint now) const;
@@ -153,7 +168,9 @@
     // Dispatches the request to a larger model if the response's confidence is too low, or holds the answer until the
     // permit for that is decided; returns false if the answer is to be used.
     bool escalate(TimePoint now);
-    void escalateTo(const Escalation& escalation, const std::optional<UpstreamId>& permitted, TimePoint now);
+    // Returns false if the larger model cannot begin and the answer at hand is to be used; true if it begins or the
+    // request has ended.
+    bool escalateTo(const Escalation& escalation, const std::optional<UpstreamId>& permitted, TimePoint now);
     // Tells the roll-outs of an attempt that is given up before its first token.
     void recordGivenUpAttempt(TimePoint now);
     void onBufferedResponse(TimePoint now);
@@ -186,6 +203,10 @@
     TimePoint m_deadline {};
     // The open attempt times out if it makes no progress until then; no value if only the request's deadline applies.
     std::optional<TimePoint> m_attemptDeadline;
+    // Longest time that the open attempt of a repeatable request may make no progress, but between events.
+    Duration m_attemptTimeout {};
+    // Whether the open attempt makes no progress and no other upstream could take the request.
+    bool m_isSilent = false;
     // Sends that an upstream may have received.
     int m_sends = 0;
     int m_connectFailures = 0;
--- a/src/balancing/internal/balancer.cpp
+++ b/src/balancing/internal/balancer.cpp
@@ -83,7 +83,7 @@
 std::vector<Balancer::Candidate> Balancer::eligibleCandidates(
     const UpstreamRequirements& requirements, int hostCount, TimePoint now, Predicate includes)
 {
-    std::vector<Candidate> healthy;
+    std::vector<Candidate> usable;
     std::vector<Candidate> ejected;
     for (const auto& [id, it] : m_catalog.upstreams()) {
         if (!matches(it, requirements, now))
@@ -91,10 +91,13 @@
         LocalState& state = localState(id);
         if (!maySendTo(it, state, hostCount, now) || (limitOf(it) && !includes(id, state)))
             continue;
-        (state.health.isUsable(now) ? healthy : ejected).push_back({ .upstream = &it, .state = &state });
+        if (requirements.condition == UpstreamCondition::Healthy && !state.health.isHealthy())
+            continue;
+        (state.health.isUsable(now) ? usable : ejected).push_back({ .upstream = &it, .state = &state });
     }
     // If all candidates look bad, the fault lies elsewhere, and avoiding them all would stop the service.
-    return healthy.empty() ? ejected : healthy;
+    const bool takesEjected = usable.empty() && requirements.condition == UpstreamCondition::Any;
+    return takesEjected ? ejected : usable;
 }
 
 std::vector<Balancer::Candidate> Balancer::candidatesWithPermits(
@@ -126,11 +129,23 @@
         .longestWait = m_options.maxPermitWait };
 }
 
-std::optional<Ticket> Balancer::pickUpstream(
+std::vector<Balancer::Candidate> Balancer::candidatesWithPermission(
     const UpstreamRequirements& requirements, int hostCount, TimePoint now, const std::optional<UpstreamId>& permitted)
 {
-    std::vector<Candidate> candidates = eligibleCandidates(requirements, hostCount, now,
+    return eligibleCandidates(requirements, hostCount, now,
         [&](const UpstreamId& id, const LocalState&) { return permitted && id == *permitted; });
+}
+
+bool Balancer::canSend(
+    const UpstreamRequirements& requirements, int hostCount, TimePoint now, const std::optional<UpstreamId>& permitted)
+{
+    return !candidatesWithPermission(requirements, hostCount, now, permitted).empty();
+}
+
+std::optional<Ticket> Balancer::pickUpstream(
+    const UpstreamRequirements& requirements, int hostCount, TimePoint now, const std::optional<UpstreamId>& permitted)
+{
+    std::vector<Candidate> candidates = candidatesWithPermission(requirements, hostCount, now, permitted);
     const auto isPermitted = [&](const Candidate& it) { return permitted && it.upstream->upstream.id == *permitted; };
     if (std::any_of(candidates.begin(), candidates.end(), isPermitted))
         std::erase_if(candidates, [&](const Candidate& it) { return !isPermitted(it); });
@@ -233,15 +248,28 @@
     if (outcome == SendOutcome::Cancelled)
         return;
     recordDecode(ticket, now);
-    const bool succeeded = outcome == SendOutcome::Succeeded;
     if (outcome == SendOutcome::Unanswered || outcome == SendOutcome::Unreachable)
-        state.unconfirmedFailures.push_back(now);
-    else
-        ++(succeeded ? state.successes : state.failures);
+        return recordUnanswered(state, service, now);
+    const bool succeeded = outcome == SendOutcome::Succeeded;
+    ++(succeeded ? state.successes : state.failures);
     (succeeded ? service.successes : service.failures).add(1, now);
     state.health.onAnswers(succeeded ? 1 : 0, succeeded ? 0 : 1, service, now);
 }
 
+void Balancer::onSilent(const Ticket& ticket, TimePoint now)
+{
+    const auto it = m_localStates.find(ticket.upstream);
+    if (it != m_localStates.end())
+        recordUnanswered(it->second, m_serviceHealth[ticket.service], now);
+}
+
+void Balancer::recordUnanswered(LocalState& state, ServiceHealth& service, TimePoint now)
+{
+    state.unconfirmedFailures.push_back(now);
+    service.failures.add(1, now);
+    state.health.onAnswers(0, 1, service, now);
+}
+
 void Balancer::confirmFailures(TimePoint now)
 {
     for (auto& [id, state] : m_localStates) {
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -18,6 +18,8 @@
 constexpr double MAX_LIMIT_RETRY_SPREAD = 1.25;
 // Failed connections to upstreams after which a request is failed.
 constexpr int MAX_CONNECT_FAILURES = 4;
+// Interval at which another upstream is looked for while the present one is silent.
+constexpr Duration SILENCE_CHECK_INTERVAL { 250 };
 
 poison::RequestSuspects suspectsOf(const CallerRequest& request)
 {
@@ -57,6 +59,11 @@
         enqueueOrRefuse(now);
 }
 
+std::optional<catalog::Caller> RequestFlow::presentCaller() const
+{
+    return m_request.key ? m_context.catalog.callerOf(*m_request.key) : std::nullopt;
+}
+
 // The key may have been revoked, or have passed to another workspace, while the request waited; or a key is needed only
 // since then.
 bool RequestFlow::keyIsValid(TimePoint now)
@@ -65,7 +72,7 @@
         return true;
     if (!m_caller && m_sends == 0)
         return authenticate(now);
-    const auto caller = m_request.key ? m_context.catalog.callerOf(*m_request.key) : std::nullopt;
+    const auto caller = presentCaller();
     if (!caller || !m_context.host.mayAcceptKeys(now)) {
         failRequest("API key revoked or no longer confirmed", now);
         return false;
@@ -99,14 +106,39 @@
 // Other hosts may have found out while the request waited, or while an attempt was open.
 bool RequestFlow::maySend(TimePoint now)
 {
-    if (!isAwaited(now) || !keyIsValid(now))
-        return false;
+    return isAwaited(now) && keyIsValid(now) && !failIfItCrashesUpstreams(now);
+}
+
+bool RequestFlow::failIfItCrashesUpstreams(TimePoint now)
+{
     m_refusal = m_context.poisonGuard.refusalOf(m_suspects, now);
     if (!m_refusal)
-        return true;
+        return false;
+    if (m_ticket)
+        dropAnswer(now);
     failRequest(m_refusal->isWholeRequest ? "the request crashes upstreams" : "a part of the prompt crashes upstreams",
         now, m_refusal->retryAfter);
-    return false;
+    return true;
+}
+
+// What speaks against a further attempt is no reason to end the present one.
+bool RequestFlow::maySendBeside(TimePoint now)
+{
+    if (m_actions.hasCallerLeft() || !mayRetry(true, now) || m_context.poisonGuard.refusalOf(m_suspects, now))
+        return false;
+    if (!m_caller && !needsCaller())
+        return true;
+    const auto caller = presentCaller();
+    return m_caller && caller && caller->workspace == m_caller->workspace && m_context.host.mayAcceptKeys(now);
+}
+
+std::optional<balancing::Ticket> RequestFlow::pickBeside(
+    const balancing::UpstreamRequirements& requirements, const std::optional<UpstreamId>& permitted, TimePoint now)
+{
+    const int hosts = m_context.host.sendingHostCount(now);
+    const bool maySend = maySendBeside(now) && m_context.balancer.canSend(requirements, hosts, now, permitted)
+        && m_context.retries.tryAcquire(m_target.service(), m_sends, now);
+    return maySend ? m_context.balancer.pickUpstream(requirements, hosts, now, permitted) : std::nullopt;
 }
 
 bool RequestFlow::trySend(TimePoint now)
@@ -169,12 +201,13 @@
     if (m_stage == Stage::AwaitingPermit)
         return sendPermitted(permitted, now);
     // The permit was for a second send of a request whose first one is still open.
-    const bool mayResend
-        = permitted && mayRetry(true, now) && m_context.retries.tryAcquire(m_target.service(), m_sends, now);
-    if (m_stage == Stage::HoldingAnswer)
-        return mayResend ? escalateTo(m_escalation, permitted, now) : releaseHeldAnswer(now);
-    if (mayResend)
-        replaceAttempt(permitted, now);
+    if (m_stage == Stage::HoldingAnswer) {
+        if (!permitted || !escalateTo(m_escalation, permitted, now))
+            releaseHeldAnswer(now);
+        return;
+    }
+    if (!permitted || !replaceAttempt(permitted, now))
+        m_attemptDeadline = now + SILENCE_CHECK_INTERVAL;
 }
 
 void RequestFlow::onPermitRefused(TimePoint now)
@@ -190,7 +223,7 @@
         break;
     default:
         // The permit was for the replacement of an open attempt, which goes on meanwhile.
-        m_attemptDeadline = now + m_permit.retryAfter();
+        m_attemptDeadline = now + std::max(SILENCE_CHECK_INTERVAL, m_permit.retryAfter());
     }
     armTimer();
 }
@@ -206,6 +239,9 @@
 
 void RequestFlow::enqueueOrRefuse(TimePoint now)
 {
+    // An upstream that was silent is better than none.
+    if (m_target.readmitSilent() && (trySend(now) || m_stage == Stage::Done))
+        return;
     const balancing::UpstreamRequirements requirements = m_target.requirements(now);
     if (const auto permitAt = m_context.balancer.nextPermitAt(requirements, now))
         return failRequest("request limits of all eligible upstreams are used up", now,
@@ -270,13 +306,14 @@
     m_heldAnswerEnded = false;
     m_headAt.reset();
     ++m_sends;
+    m_isSilent = false;
     m_attemptDeadline.reset();
     if (m_route->mayRepeat()) {
         const Duration minTimeout = m_route->kind == catalog::RouteKind::Streaming
             ? m_context.options.minStreamingTimeout
             : m_context.options.minServiceTimeout;
-        m_attemptDeadline
-            = now + std::max(minTimeout, m_context.options.timeoutFactor * m_ticket->expectedTimeToFirstToken());
+        m_attemptTimeout = std::max(minTimeout, m_context.options.timeoutFactor * m_ticket->expectedTimeToFirstToken());
+        m_attemptDeadline = now + m_attemptTimeout;
     }
     m_evidence.onSent(*target, now);
     m_context.poisonGuard.onSent(attemptNumber(*m_ticket),
@@ -417,32 +454,48 @@
     respondLocally(FlowStep::Failed, STATUS_GATEWAY_TIMEOUT, std::nullopt, REASON, now);
 }
 
+// The present attempt goes on unless another one can begin at once: a sound upstream may be silent for a while.
 void RequestFlow::onProgressTimeout(TimePoint now)
 {
     m_attemptDeadline.reset();
     if (m_stage == Stage::AwaitingHead)
         m_context.reach.onOverdue(m_ticket->upstream, m_ticket->sentAt, now);
-    const int hosts = m_context.host.sendingHostCount(now);
-    if (!mayRetry(true, now) || !m_context.balancer.estimateLatency(m_target.requirements(now), hosts, now))
+    if (!maySendBeside(now))
         return;
-    balancing::UpstreamRequirements others = m_target.requirements(now);
-    others.excludedUpstreams.push_back(m_ticket->upstream);
-    if (const auto need = m_context.balancer.neededPermit(others, hosts, now))
+    const auto others = requirementsBesideSilent(now);
+    if (const auto need = m_context.balancer.neededPermit(others, m_context.host.sendingHostCount(now), now))
         return m_permit.begin(*need, now);
-    if (m_context.retries.tryAcquire(m_target.service(), m_sends, now))
-        replaceAttempt(std::nullopt, now);
+    if (replaceAttempt(std::nullopt, now))
+        return;
+    if (!std::exchange(m_isSilent, true))
+        m_context.balancer.onSilent(*m_ticket, now);
+    m_attemptDeadline = now + SILENCE_CHECK_INTERVAL;
 }
 
-void RequestFlow::replaceAttempt(const std::optional<UpstreamId>& permitted, TimePoint now)
+// An upstream whose health is in doubt is tried only after a longer silence.
+balancing::UpstreamRequirements RequestFlow::requirementsBesideSilent(TimePoint now) const
+{
+    balancing::UpstreamRequirements others = m_target.requirementsBeside(m_ticket->upstream, now);
+    others.condition
+        = m_isSilent ? balancing::UpstreamCondition::Usable : balancing::UpstreamCondition::Healthy;
+    return others;
+}
+
+bool RequestFlow::replaceAttempt(const std::optional<UpstreamId>& permitted, TimePoint now)
 {
     constexpr std::string_view REASON = "no progress within the timeout";
+    auto ticket = pickBeside(requirementsBesideSilent(now), permitted, now);
+    if (!ticket)
+        return false;
     reportFailedAttempt(REASON, now);
     recordGivenUpAttempt(now);
     m_actions.cancelAttempt();
     m_mayHaveRun = true;
-    m_target.exclude(m_ticket->upstream);
+    m_target.excludeSilent(m_ticket->upstream);
     closeAttempt(SendOutcome::Unanswered, now);
-    resend(REASON, permitted, now);
+    report(event(m_headSent ? FlowStep::Resumed : FlowStep::Retried, REASON), now);
+    send(std::move(*ticket), now);
+    return true;
 }
 
 void RequestFlow::onCallerGone(TimePoint now)
--- a/src/entry/internal/requestflowanswers.cpp
+++ b/src/entry/internal/requestflowanswers.cpp
@@ -82,8 +82,7 @@
     const bool isStream = m_route->kind == catalog::RouteKind::Streaming && isSuccess(m_responseInfo.status)
         && m_responseInfo.isEventStream;
     m_stage = isStream ? Stage::Streaming : Stage::Buffering;
-    if (isStream && m_route->mayRepeat())
-        m_attemptDeadline = nextEventDeadline(now);
+    onProgress(now);
     armTimer();
 }
 
@@ -151,28 +150,34 @@
         armTimer();
         return true;
     }
-    if (!m_context.retries.tryAcquire(m_target.service(), m_sends, now))
-        return false;
-    escalateTo(*escalation, std::nullopt, now);
-    return true;
+    return escalateTo(*escalation, std::nullopt, now);
 }
 
-void RequestFlow::escalateTo(const Escalation& escalation, const std::optional<UpstreamId>& permitted, TimePoint now)
+bool RequestFlow::escalateTo(const Escalation& escalation, const std::optional<UpstreamId>& permitted, TimePoint now)
 {
+    if (!isAwaited(now) || failIfItCrashesUpstreams(now))
+        return true;
+    auto ticket = pickBeside(m_target.requirements(escalation.model, now), permitted, now);
+    if (!ticket)
+        return false;
     FlowEvent escalated = event(FlowStep::Escalated);
     escalated.confidence = m_responseInfo.confidence;
     escalated.expected = escalation.expected;
     report(escalated, now);
+    dropAnswer(now);
+    m_target.setModelIndex(escalation.model);
+    send(std::move(*ticket), now);
+    armTimer();
+    return true;
+}
+
+void RequestFlow::dropAnswer(TimePoint now)
+{
     m_actions.cancelAttempt();
     m_context.poisonGuard.onEnded(poison::AttemptNumber(m_ticket->number), poison::AttemptEnd::Abandoned);
     closeAttempt(SendOutcome::Succeeded, now);
     m_heldBytes.clear();
     m_heldAnswerEnded = false;
-    m_target.setModelIndex(escalation.model);
-    m_stage = Stage::Received;
-    if (maySend(now) && !sendNow(m_target.requirements(now), permitted, now))
-        dispatch(now);
-    armTimer();
 }
 
 void RequestFlow::onAttemptData(std::string_view bytes, TimePoint now)
@@ -193,7 +198,7 @@
             forwardEvent(it);
         });
         if (anyCompleteEvent && m_ticket)
-            onStreamProgress(now);
+            onProgress(now);
         if (m_splitter.incompleteEvent().size() > MAX_BUFFERED_BYTES) {
             m_actions.cancelAttempt();
             onAttemptUnusable(SendOutcome::Failed, "event exceeds 1 MiB", now);
@@ -203,17 +208,19 @@
     if (m_stage != Stage::Buffering)
         return;
     m_body += bytes;
+    onProgress(now);
     if (m_body.size() > MAX_BUFFERED_BYTES) {
         m_actions.cancelAttempt();
         onAttemptUnusable(SendOutcome::Failed, "response exceeds 1 MiB", now);
     }
 }
 
-void RequestFlow::onStreamProgress(TimePoint now)
+void RequestFlow::onProgress(TimePoint now)
 {
     m_permit.end();
+    m_isSilent = false;
     if (m_route->mayRepeat())
-        m_attemptDeadline = nextEventDeadline(now);
+        m_attemptDeadline = m_stage == Stage::Streaming ? nextEventDeadline(now) : now + m_attemptTimeout;
 }
 
 void RequestFlow::forwardEvent(const StreamEvent& it)
--- a/src/entry/internal/requesttarget.cpp
+++ b/src/entry/internal/requesttarget.cpp
@@ -52,9 +52,12 @@
     return stableHash(hashKey, stableHash(m_service.value()));
 }
 
-balancing::UpstreamRequirements RequestTarget::requirementsWithoutVersion(std::size_t model) const
+balancing::UpstreamRequirements RequestTarget::requirementsWithoutVersion(
+    std::size_t model, const std::vector<UpstreamId>& others) const
 {
     balancing::UpstreamRequirements it { .service = m_service, .excludedUpstreams = m_excluded };
+    it.excludedUpstreams.insert(it.excludedUpstreams.end(), m_silent.begin(), m_silent.end());
+    it.excludedUpstreams.insert(it.excludedUpstreams.end(), others.begin(), others.end());
     it.promptTokens = m_request.promptTokens;
     it.promptParts = m_request.promptParts;
     if (selectsModel())
@@ -72,9 +75,10 @@
     return largest ? rollout::RequestProfile::ShortPrefillLongDecode : rollout::RequestProfile::ShortPrefillShortDecode;
 }
 
-balancing::UpstreamRequirements RequestTarget::requirements(std::size_t model, TimePoint now) const
+balancing::UpstreamRequirements RequestTarget::requirements(
+    std::size_t model, const std::vector<UpstreamId>& others, TimePoint now) const
 {
-    balancing::UpstreamRequirements it = requirementsWithoutVersion(model);
+    balancing::UpstreamRequirements it = requirementsWithoutVersion(model, others);
     const rollout::VersionConstraint constraint
         = m_context.rollouts.constraintFor(m_service, sessionHash(), profile(model), now);
     it.requiredVersion = constraint.requiredVersion;
