Evidence against parts and requests lasts until something speaks against it

Cause: crashes were forgotten after 30 s, verdicts ended 60 s after the last request, clearances after 120 s, signs of life after 30 s, and crashes were told to other hosts for 2 s only.

Change: a crash counts until answers clear its suspects; there are at most 128, one for each incarnation of an upstream, and those that share no suspect give way first. An answer clears a part of a crash for good. The share that a part has to explain is that of the crashes near its own. A verdict ends with an answer; one live host lets a single request through a minute after the last crash, and once more ten minutes later. Hosts repeat old crashes and verdicts, and tell again of answers that ended them. The trials are an extension of the notices that builds before neither send nor read; decodeDatagram takes each extension by itself for that.

--- a/include/fireflyhaven/fleet/types/poisonmessages.h
+++ b/include/fireflyhaven/fleet/types/poisonmessages.h
@@ -82,6 +82,16 @@
     }
 };
 
+// Requests with a convicted part, or convicted ones, that were sent to find out whether upstreams still crash.
+struct VerdictTrials {
+    PromptPartId part;
+    std::uint8_t trials = 0;
+    // Time since the latest was sent.
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(part, trials, ageMs); }
+};
+
 // What the sender, or hosts that report to it, know of crashes and of the parts that cause them.
 struct PoisonNotices {
     HostId from;
@@ -92,6 +102,8 @@
     ShortList<PartVerdict> verdicts;
     // The verdicts that are on whole requests. Not in the messages of older builds, which end before it.
     ShortList<PromptPartId> convictedRequests;
+    // The verdicts that were put to the test. Not in the messages of older builds either.
+    ShortList<VerdictTrials> trials;
 
     bool empty() const
     {
--- a/include/fireflyhaven/poison/crashevidence.h
+++ b/include/fireflyhaven/poison/crashevidence.h
@@ -24,7 +24,8 @@
 int requiredCrashes(std::size_t candidates);
 
 // The crashes of upstreams that this host and others have seen, and the parts that upstreams have answered without a
-// crash; finds the part that explains the crashes. Does no I/O.
+// crash; finds the part that explains the crashes. A crash counts, however long ago it was, until upstreams have
+// answered its suspects or too many others have followed. Does no I/O.
 class CrashEvidence {
 public:
     // Returns false if the crash is known already, or withdrawn.
@@ -43,8 +44,6 @@
     void removeExplainedBy(PromptPartId part, bool isWholeRequest, TimePoint now);
     // The crash of this report is explained by a convicted part.
     void onExplained(const fleet::CrashReport& report, TimePoint now);
-    // Tells the other hosts that the part was answered.
-    void announceAnswered(PromptPartId part, TimePoint now);
     // When an upstream last answered the part; no value if that is not known.
     std::optional<TimePoint> answeredAt(PromptPartId part) const;
 
@@ -56,12 +55,19 @@
     std::size_t answeredParts() const { return m_answered.size(); }
 
 private:
+    struct Suspect {
+        fleet::SuspectPart id;
+        // When an upstream answered it, so that it did not cause the crash; no value if none has.
+        std::optional<TimePoint> clearedAt;
+    };
+    // The crash of one incarnation of an upstream, as all hosts together have seen it.
     struct Crash {
+        // The host that was first to report it.
         HostId reporter;
         fleet::ShortHash upstream = 0;
         std::int64_t startedAtMs = 0;
         TimePoint at {};
-        std::vector<fleet::SuspectPart> parts;
+        std::vector<Suspect> suspects;
         fleet::NoticeSource source = fleet::NoticeSource::ThisHost;
         TimePoint learnedAt {};
     };
@@ -77,7 +83,7 @@
         fleet::NoticeSource source = fleet::NoticeSource::ThisHost;
         std::optional<TimePoint> newsAt;
     };
-    // Crashes that count as one, because they share an upstream or a moment.
+    // Crashes that count as one, because they share a moment.
     struct CrashGroup {
         TimePoint firstAt {};
         TimePoint lastAt {};
@@ -97,19 +103,41 @@
         bool isWholeRequest() const { return position == fleet::WHOLE_REQUEST; }
     };
 
+    // Finds the crash of this report; adds it if it is new. Null where the report is of an earlier moment than the
+    // known crash of its incarnation, and so was no crash.
+    Crash* findOrAdd(const fleet::CrashReport& report, fleet::NoticeSource source, TimePoint at, TimePoint now);
+    // Adds a suspect; returns false if it is known.
+    bool addSuspect(Crash& crash, const fleet::SuspectPart& id, TimePoint now);
+    // Clears the suspect of the crashes that it outlived; returns whether there are any.
+    bool clearSuspect(PromptPartId part, TimePoint answeredAt);
+    // Tells the other hosts that the part was answered then, even if this host has forgotten it otherwise.
+    void announceCleared(PromptPartId part, TimePoint answeredAt, TimePoint now);
+    // Drops the crash that says least, where there are too many.
+    void limitCrashes();
+    // Notes which parts and requests are suspects that are not cleared.
+    void indexSuspects();
+    fleet::CrashReport reportOf(const Crash& crash, TimePoint now) const;
+    // The crash that is told again now, although it is no news; null if there is none to tell.
+    const Crash* crashToRepeat(TimePoint now) const;
+
     std::vector<CrashGroup> groups() const;
+    // Number of groups that are near one with the part, itself included.
+    static int countNear(PromptPartId part, const std::vector<CrashGroup>& groups);
     // Judges one part by the groups; no value if it is not convicted.
     std::optional<Suspicion> judge(PromptPartId part, const std::vector<CrashGroup>& groups, bool wasConvicted) const;
     // Whether one request was in flight at all crashes of the suspect: any one of a part's, or a convicted one of a
     // request's.
     bool isExplainedByRequest(const Suspicion& suspicion, const std::vector<CrashGroup>& groups) const;
     bool isWithdrawn(const fleet::CrashReport& report, TimePoint at) const;
-    void limitAnswered();
+    void limitConvictedRequests();
 
     // An upstream and the start of its incarnation.
     using IncarnationKey = std::pair<fleet::ShortHash, std::int64_t>;
 
+    // Oldest first.
     std::vector<Crash> m_crashes;
+    // In how many crashes each suspect is that is not cleared there.
+    absl::flat_hash_map<PromptPartId, int> m_suspects;
     // Incarnations whose crash a convicted part explains, and since when that is known.
     absl::flat_hash_map<IncarnationKey, TimePoint> m_explained;
     // Convicted requests, and when they were.
--- a/include/fireflyhaven/poison/poisonguard.h
+++ b/include/fireflyhaven/poison/poisonguard.h
@@ -5,6 +5,8 @@
 #include "fireflyhaven/poison/crashevidence.h"
 #include "fireflyhaven/poison/partverdicts.h"
 
+#include <functional>
+
 namespace fireflyhaven::poison {
 
 // What has changed in the verdicts of this host.
@@ -14,8 +16,10 @@
     Learned,
     // An upstream has answered the part and lived on.
     Withdrawn,
-    // No request with the part has come for the lifetime of a verdict.
-    Ended,
+    // A request with the part was sent to find out whether upstreams still crash.
+    Tried,
+    // Too many parts are convicted, and requests with this one have not come for the longest time.
+    Dropped,
 };
 
 struct VerdictEvent {
@@ -28,7 +32,7 @@
     // The part, or the digest of the request.
     PromptPartId part;
     bool isWholeRequest = false;
-    // Time after which the verdict ends if no further request comes.
+    // When to come back: a request may be let through then.
     Duration retryAfter {};
 };
 
@@ -44,8 +48,12 @@
 // evidence, exchanges it with the other hosts, and applies the verdicts of all. Does no I/O.
 class PoisonGuard final : public fleet::IPoisonDelegate {
 public:
-    explicit PoisonGuard(HostId self)
+    // Whether this host is the one that may put the verdict on the part to the test.
+    using IsTrialHost = std::function<bool(PromptPartId part, TimePoint now)>;
+
+    explicit PoisonGuard(HostId self, IsTrialHost isTrialHost = {})
         : m_self(std::move(self))
+        , m_isTrialHost(std::move(isTrialHost))
     {
     }
 
@@ -93,7 +101,12 @@
         bool isBeingChecked = false;
     };
 
+    // Whether this host may let a request with any of the parts through as a trial.
+    bool mayTry(const std::vector<PromptPartId>& ids, TimePoint now) const;
+
     const HostId m_self;
+    // Unset where there is one host.
+    const IsTrialHost m_isTrialHost;
     AttemptWatch m_watch;
     std::vector<UnconfirmedCrash> m_unconfirmed;
     CrashEvidence m_evidence;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -107,7 +107,8 @@
               .send = [this](const std::vector<fleet::Datagram>& datagrams) { m_fleetLink.send(datagrams); },
               .deliver = [this](admission::TicketId request,
                              const ratelimit::PermitDecision& decision) { deliverPermit(request, decision); } })
-        , m_poisonGuard(m_settings.host)
+        , m_poisonGuard(m_settings.host,
+              [this](PromptPartId part, TimePoint now) { return isTrialHost(m_fleetLink.hosts(), part, now); })
         , m_fleetLink(loop, clock, m_settings, store, *this, m_limitLink, m_poisonGuard)
         , m_freshness({ .catalogSync = m_catalogSync,
               .hosts = m_fleetLink.hosts(),
--- a/src/entry/internal/poisonlink.cpp
+++ b/src/entry/internal/poisonlink.cpp
@@ -1,8 +1,11 @@
 #include "poisonlink.h"
 
+#include "fireflyhaven/common/hash.h"
 #include "fireflyhaven/telemetry/logevent.h"
 #include "lognames.h"
 
+#include <algorithm>
+
 namespace fireflyhaven::entry {
 
 namespace {
@@ -19,14 +22,24 @@
         return subject + "_verdict_learned";
     case poison::VerdictChange::Withdrawn:
         return subject + "_verdict_withdrawn";
-    case poison::VerdictChange::Ended:
-        return subject + "_verdict_ended";
+    case poison::VerdictChange::Tried:
+        return subject + "_verdict_tried";
+    case poison::VerdictChange::Dropped:
+        return subject + "_verdict_dropped";
     }
     return subject;
 }
 
 }
 
+bool isTrialHost(const fleet::HostTable& hosts, PromptPartId part, TimePoint now)
+{
+    const auto order = [part](const HostId& host) { return stableHash(host.value(), part.value()); };
+    const std::vector<const fleet::KnownHost*> live = hosts.live(now);
+    return std::none_of(live.begin(), live.end(),
+        [&](const fleet::KnownHost* it) { return order(it->report.host) < order(hosts.self()); });
+}
+
 nlohmann::ordered_json crashList(const catalog::Catalog& catalog, const poison::Verdict& verdict)
 {
     auto crashes = nlohmann::ordered_json::array();
--- a/src/entry/internal/poisonlink.h
+++ b/src/entry/internal/poisonlink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fireflyhaven/catalog/catalog.h"
+#include "fireflyhaven/fleet/hosttable.h"
 #include "fireflyhaven/http/eventclient.h"
 #include "fireflyhaven/poison/poisonguard.h"
 #include "fireflyhaven/telemetry/metrics.h"
@@ -39,6 +40,9 @@
     const Context m_context;
 };
 
+// Whether this host puts a verdict on the part to the test: one of the live hosts does, the same in the view of all.
+bool isTrialHost(const fleet::HostTable& hosts, PromptPartId part, TimePoint now);
+
 // The crashes that convicted a part, each with a host that lost a request there.
 nlohmann::ordered_json crashList(const catalog::Catalog& catalog, const poison::Verdict& verdict);
 
--- a/src/fleet/internal/datagram.h
+++ b/src/fleet/internal/datagram.h
@@ -23,8 +23,8 @@
     return std::move(out).str();
 }
 
-// Returns no value if the datagram has another layout or is malformed. An extension is left as it is where the datagram
-// has none.
+// Returns no value if the datagram has another layout or is malformed. Each build may have added one extension, and one
+// is left as it is where the datagram ends before it.
 template <typename Message, typename... Extension>
 std::optional<Message> decodeDatagram(std::uint16_t layout, const std::string& datagram, Extension&... extension)
 {
@@ -37,8 +37,11 @@
             return std::nullopt;
         Message message;
         archive(message);
-        if (in.peek() != std::istringstream::traits_type::eof())
-            (archive(extension), ...);
+        [[maybe_unused]] const auto read = [&](auto& it) {
+            if (in.peek() != std::istringstream::traits_type::eof())
+                archive(it);
+        };
+        (read(extension), ...);
         return message;
     } catch (const std::exception&) {
         return std::nullopt;
--- a/src/fleet/internal/fleetdigest.cpp
+++ b/src/fleet/internal/fleetdigest.cpp
@@ -1,6 +1,7 @@
 #include "fireflyhaven/fleet/types/fleetdigest.h"
 
 #include "datagram.h"
+#include "loadextension.h"
 
 namespace fireflyhaven::fleet {
 
@@ -10,18 +11,16 @@
 
 std::string encodeDigest(const FleetDigest& digest)
 {
-    return encodeDatagram(
-        LAYOUT, digest, ShortList<UpstreamSpeed>(digest.speeds), ShortList<PromptDemand>(digest.demands));
+    return encodeDatagram(LAYOUT, digest, LoadExtension { .speeds = digest.speeds, .demands = digest.demands });
 }
 
 std::optional<FleetDigest> decodeDigest(const std::string& datagram)
 {
-    ShortList<UpstreamSpeed> speeds;
-    ShortList<PromptDemand> demands;
-    auto digest = decodeDatagram<FleetDigest>(LAYOUT, datagram, speeds, demands);
+    LoadExtension extension;
+    auto digest = decodeDatagram<FleetDigest>(LAYOUT, datagram, extension);
     if (digest) {
-        digest->speeds = std::move(speeds);
-        digest->demands = std::move(demands);
+        digest->speeds = std::move(extension.speeds);
+        digest->demands = std::move(extension.demands);
     }
     return digest;
 }
--- a/src/fleet/internal/hostreport.cpp
+++ b/src/fleet/internal/hostreport.cpp
@@ -1,6 +1,7 @@
 #include "fireflyhaven/fleet/types/hostreport.h"
 
 #include "datagram.h"
+#include "loadextension.h"
 
 #include <algorithm>
 
@@ -26,18 +27,16 @@
 
 std::string encodeReport(const HostReport& report)
 {
-    return encodeDatagram(
-        LAYOUT, report, ShortList<UpstreamSpeed>(report.speeds), ShortList<PromptDemand>(report.demands));
+    return encodeDatagram(LAYOUT, report, LoadExtension { .speeds = report.speeds, .demands = report.demands });
 }
 
 std::optional<HostReport> decodeReport(const std::string& datagram)
 {
-    ShortList<UpstreamSpeed> speeds;
-    ShortList<PromptDemand> demands;
-    auto report = decodeDatagram<HostReport>(LAYOUT, datagram, speeds, demands);
+    LoadExtension extension;
+    auto report = decodeDatagram<HostReport>(LAYOUT, datagram, extension);
     if (report) {
-        report->speeds = std::move(speeds);
-        report->demands = std::move(demands);
+        report->speeds = std::move(extension.speeds);
+        report->demands = std::move(extension.demands);
     }
     return report;
 }
--- a/src/poison/internal/crashevidence.cpp
+++ b/src/poison/internal/crashevidence.cpp
@@ -7,16 +7,21 @@
 
 namespace {
 
-constexpr Duration CRASH_RETENTION { 30'000 };
 constexpr Duration ANSWERED_RETENTION { 120'000 };
-constexpr Duration SIGN_RETENTION { 30'000 };
 // News is repeated to the other hosts for this long, because datagrams get lost.
 constexpr Duration NEWS_TIME { 2000 };
+// Interval at which a host repeats one of the crashes that are no news, for hosts that have missed them.
+constexpr Duration REPEAT_INTERVAL { 10'000 };
+// Time in an interval in which it does. Notices are sent more often than this.
+constexpr Duration REPEAT_TIME { 1000 };
 // Crashes within this time of each other have a common cause as likely as not, and count once.
 constexpr Duration GROUP_WINDOW { 100 };
-// Losses of one host at one incarnation within this time belong to one crash.
+// Losses at one incarnation within this time belong to one crash.
 constexpr Duration SAME_CRASH_WINDOW { 2000 };
 constexpr std::size_t MAX_CRASHES = 128;
+constexpr std::size_t MAX_EXPLAINED = 1024;
+constexpr std::size_t MAX_SIGNS = 4096;
+constexpr std::size_t MAX_CONVICTED_REQUESTS = 1024;
 constexpr std::size_t MAX_PARTS_PER_CRASH = 128;
 constexpr std::size_t MAX_ANSWERED_PARTS = 4096;
 constexpr std::size_t MAX_CRASHES_PER_NOTICE = 32;
@@ -33,8 +38,10 @@
 constexpr double COINCIDENCE = 0.25;
 // A part that was answered lately needs this many crashes more.
 constexpr int EXTRA_CRASHES_IF_ANSWERED_BEFORE = 2;
-// The part must explain at least this share of the crashes since its first.
+// The part must explain at least this share of the crashes near its own.
 constexpr double MIN_EXPLAINED_SHARE = 0.5;
+// Crashes within this time of each other may have a common cause that is no part.
+constexpr Duration NEIGHBOURHOOD { 10'000 };
 
 std::uint32_t ageOf(TimePoint at, TimePoint now)
 {
@@ -43,6 +50,20 @@
 
 bool isNews(const std::optional<TimePoint>& newsAt, TimePoint now) { return newsAt && now - *newsAt < NEWS_TIME; }
 
+// Drops the older half of the entries where there are too many. `timeOf` returns the time of an entry.
+template <typename Map, typename TimeOf> void keepNewer(Map& entries, std::size_t most, TimeOf timeOf)
+{
+    if (entries.size() <= most)
+        return;
+    std::vector<TimePoint> times;
+    times.reserve(entries.size());
+    for (const auto& entry : entries)
+        times.push_back(timeOf(entry));
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    absl::erase_if(entries, [&, oldestKept = *middle](const auto& entry) { return timeOf(entry) < oldestKept; });
+}
+
 }
 
 int requiredCrashes(std::size_t candidates)
@@ -62,41 +83,93 @@
 bool CrashEvidence::onCrash(const fleet::CrashReport& report, fleet::NoticeSource source, TimePoint now)
 {
     const TimePoint at = now - Duration(report.ageMs);
-    const bool tooOld = now - at >= CRASH_RETENTION;
     if (isWithdrawn(report, at)) {
         // The other hosts may not know that the upstream lives.
         m_signs.at(report.upstream).newsAt = now;
         return false;
     }
-    if (tooOld || m_explained.contains({ report.upstream, report.startedAtMs }))
+    if (m_explained.contains({ report.upstream, report.startedAtMs }))
         return false;
-    const auto known = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& it) {
-        return it.reporter == report.reporter && it.upstream == report.upstream && it.startedAtMs == report.startedAtMs
-            && std::chrono::abs(it.at - at) < SAME_CRASH_WINDOW;
-    });
-    Crash& crash = known != m_crashes.end() ? *known
-                                            : m_crashes.emplace_back(Crash { .reporter = report.reporter,
-                                                .upstream = report.upstream,
-                                                .startedAtMs = report.startedAtMs,
-                                                .at = at,
-                                                .source = source,
-                                                .learnedAt = now });
-    bool changed = known == m_crashes.end();
-    for (const fleet::SuspectPart& it : report.parts.items) {
-        const bool isNew = std::find(crash.parts.begin(), crash.parts.end(), it) == crash.parts.end();
-        if (!isNew || crash.parts.size() >= MAX_PARTS_PER_CRASH)
-            continue;
-        crash.parts.push_back(it);
-        changed = true;
-        const auto answered = m_answered.find(it.part);
-        if (answered != m_answered.end() && answered->second.source == fleet::NoticeSource::ThisHost)
-            answered->second.newsAt = now;
+    const std::size_t before = m_crashes.size();
+    Crash* crash = findOrAdd(report, source, at, now);
+    if (!crash)
+        return false;
+    bool changed = m_crashes.size() > before;
+    for (const fleet::SuspectPart& it : report.parts.items)
+        changed = addSuspect(*crash, it, now) || changed;
+    if (!changed)
+        return false;
+    crash->learnedAt = now;
+    limitCrashes();
+    indexSuspects();
+    return true;
+}
+
+CrashEvidence::Crash* CrashEvidence::findOrAdd(
+    const fleet::CrashReport& report, fleet::NoticeSource source, TimePoint at, TimePoint now)
+{
+    const auto known = std::find_if(m_crashes.begin(), m_crashes.end(),
+        [&](const Crash& it) { return it.upstream == report.upstream && it.startedAtMs == report.startedAtMs; });
+    if (known != m_crashes.end() && at < known->at - SAME_CRASH_WINDOW)
+        return nullptr;
+    if (known != m_crashes.end() && at < known->at + SAME_CRASH_WINDOW)
+        return &*known;
+    // An incarnation crashes once, so that the earlier loss was no crash.
+    if (known != m_crashes.end())
+        m_crashes.erase(known);
+    const auto later = std::find_if(m_crashes.begin(), m_crashes.end(), [at](const Crash& it) { return it.at > at; });
+    return &*m_crashes.insert(later,
+        Crash { .reporter = report.reporter,
+            .upstream = report.upstream,
+            .startedAtMs = report.startedAtMs,
+            .at = at,
+            .source = source,
+            .learnedAt = now });
+}
+
+bool CrashEvidence::addSuspect(Crash& crash, const fleet::SuspectPart& id, TimePoint now)
+{
+    const auto known
+        = std::find_if(crash.suspects.begin(), crash.suspects.end(), [&](const Suspect& it) { return it.id == id; });
+    const auto answered = m_answered.find(id.part);
+    if (answered != m_answered.end() && answered->second.source == fleet::NoticeSource::ThisHost)
+        answered->second.newsAt = now;
+    if (known != crash.suspects.end()) {
+        if (known->clearedAt)
+            announceCleared(id.part, *known->clearedAt, now);
+        return false;
+    }
+    if (crash.suspects.size() >= MAX_PARTS_PER_CRASH)
+        return false;
+    const bool isCleared = answered != m_answered.end() && answered->second.at >= crash.at - RECENT_ANSWER;
+    crash.suspects.push_back({ .id = id, .clearedAt = isCleared ? std::optional(answered->second.at) : std::nullopt });
+    return true;
+}
+
+void CrashEvidence::limitCrashes()
+{
+    if (m_crashes.size() <= MAX_CRASHES)
+        return;
+    indexSuspects();
+    // The fewer crashes share a suspect of it, the less a crash says; of equal ones the oldest goes.
+    const auto weight = [this](const Crash& crash) {
+        int most = 0;
+        for (const Suspect& it : crash.suspects)
+            most = std::max(most, it.clearedAt ? 0 : m_suspects.at(it.id.part));
+        return std::min(most, 2);
+    };
+    m_crashes.erase(std::min_element(
+        m_crashes.begin(), m_crashes.end(), [&](const Crash& a, const Crash& b) { return weight(a) < weight(b); }));
+}
+
+void CrashEvidence::indexSuspects()
+{
+    m_suspects.clear();
+    for (const Crash& crash : m_crashes) {
+        for (const Suspect& it : crash.suspects)
+            m_suspects[it.id.part] += it.clearedAt ? 0 : 1;
     }
-    if (changed)
-        crash.learnedAt = now;
-    if (m_crashes.size() > MAX_CRASHES)
-        m_crashes.erase(m_crashes.begin());
-    return changed;
+    absl::erase_if(m_suspects, [](const auto& entry) { return entry.second == 0; });
 }
 
 bool CrashEvidence::onSignOfLife(const fleet::SignOfLife& sign, fleet::NoticeSource source, TimePoint now)
@@ -119,38 +192,45 @@
     const auto [it, isNew] = m_answered.try_emplace(part);
     if (!isNew && answeredAt <= it->second.at)
         return false;
-    const TimePoint before = std::exchange(it->second.at, answeredAt);
+    it->second.at = answeredAt;
     it->second.source = source;
-    const bool clears = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash& crash) {
-        const bool suspects = std::any_of(
-            crash.parts.begin(), crash.parts.end(), [&](const fleet::SuspectPart& s) { return s.part == part; });
-        return suspects && crash.at > before && crash.at <= answeredAt;
-    });
+    const bool clears = clearSuspect(part, answeredAt);
     if (clears)
         it->second.newsAt = now;
     if (isNew)
-        limitAnswered();
+        keepNewer(m_answered, MAX_ANSWERED_PARTS, [](const auto& entry) { return entry.second.at; });
     return clears;
 }
 
-void CrashEvidence::limitAnswered()
+bool CrashEvidence::clearSuspect(PromptPartId part, TimePoint answeredAt)
 {
-    if (m_answered.size() <= MAX_ANSWERED_PARTS)
-        return;
-    std::vector<TimePoint> times;
-    times.reserve(m_answered.size());
-    for (const auto& [part, it] : m_answered)
-        times.push_back(it.at);
-    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::nth_element(times.begin(), middle, times.end());
-    absl::erase_if(m_answered, [oldestKept = *middle](const auto& entry) { return entry.second.at < oldestKept; });
+    const auto suspect = m_suspects.find(part);
+    if (suspect == m_suspects.end())
+        return false;
+    int cleared = 0;
+    for (Crash& crash : m_crashes) {
+        if (answeredAt < crash.at - RECENT_ANSWER)
+            continue;
+        for (Suspect& it : crash.suspects) {
+            if (it.id.part != part || it.clearedAt)
+                continue;
+            it.clearedAt = answeredAt;
+            ++cleared;
+        }
+    }
+    if (cleared == 0)
+        return false;
+    suspect->second -= cleared;
+    if (suspect->second == 0)
+        m_suspects.erase(suspect);
+    m_convictedRequests.erase(part);
+    return true;
 }
 
-void CrashEvidence::announceAnswered(PromptPartId part, TimePoint now)
+void CrashEvidence::announceCleared(PromptPartId part, TimePoint answeredAt, TimePoint now)
 {
-    const auto it = m_answered.find(part);
-    if (it != m_answered.end())
-        it->second.newsAt = now;
+    const auto it = m_answered.try_emplace(part, Answered { .at = answeredAt }).first;
+    it->second.newsAt = now;
 }
 
 std::optional<TimePoint> CrashEvidence::answeredAt(PromptPartId part) const
@@ -161,26 +241,16 @@
 
 std::vector<CrashEvidence::CrashGroup> CrashEvidence::groups() const
 {
-    std::vector<const Crash*> byTime;
-    for (const Crash& it : m_crashes)
-        byTime.push_back(&it);
-    std::sort(byTime.begin(), byTime.end(), [](const Crash* a, const Crash* b) { return a->at < b->at; });
     std::vector<CrashGroup> groups;
-    for (const Crash* it : byTime) {
-        const auto sameUpstream = [it](const fleet::CrashWitness& w) { return w.upstream == it->upstream; };
-        const bool joins = !groups.empty()
-            && (it->at - groups.back().firstAt < GROUP_WINDOW
-                || std::any_of(groups.back().upstreams.begin(), groups.back().upstreams.end(), sameUpstream));
-        if (!joins)
-            groups.push_back({ .firstAt = it->at });
+    for (const Crash& crash : m_crashes) {
+        if (groups.empty() || crash.at - groups.back().firstAt >= GROUP_WINDOW)
+            groups.push_back({ .firstAt = crash.at });
         CrashGroup& group = groups.back();
-        group.lastAt = it->at;
-        if (std::none_of(group.upstreams.begin(), group.upstreams.end(), sameUpstream))
-            group.upstreams.push_back({ .upstream = it->upstream, .reporter = it->reporter });
-        for (const fleet::SuspectPart& suspect : it->parts) {
-            const auto answered = m_answered.find(suspect.part);
-            if (answered == m_answered.end() || answered->second.at < it->at - RECENT_ANSWER)
-                group.candidates[suspect.part] = suspect.position;
+        group.lastAt = crash.at;
+        group.upstreams.push_back({ .upstream = crash.upstream, .reporter = crash.reporter });
+        for (const Suspect& it : crash.suspects) {
+            if (!it.clearedAt)
+                group.candidates[it.id.part] = it.id.position;
         }
     }
     for (CrashGroup& group : groups) {
@@ -190,30 +260,38 @@
     return groups;
 }
 
+int CrashEvidence::countNear(PromptPartId part, const std::vector<CrashGroup>& groups)
+{
+    const auto isNearOneWithPart = [&](const CrashGroup& group) {
+        return std::any_of(groups.begin(), groups.end(), [&](const CrashGroup& other) {
+            return other.candidates.contains(part) && std::chrono::abs(other.firstAt - group.firstAt) <= NEIGHBOURHOOD;
+        });
+    };
+    return static_cast<int>(std::count_if(groups.begin(), groups.end(), isNearOneWithPart));
+}
+
 std::optional<CrashEvidence::Suspicion> CrashEvidence::judge(
     PromptPartId part, const std::vector<CrashGroup>& groups, bool wasConvicted) const
 {
     Suspicion suspicion { .part = part };
-    int groupsSinceFirst = 0;
     std::size_t fewestCandidates = SIZE_MAX;
     for (const CrashGroup& it : groups) {
         const auto candidate = it.candidates.find(part);
-        if (candidate != it.candidates.end()) {
-            ++suspicion.crashes;
-            suspicion.position = candidate->second;
-            fewestCandidates = std::min(fewestCandidates, it.parts);
-        }
-        groupsSinceFirst += suspicion.crashes > 0 ? 1 : 0;
+        if (candidate == it.candidates.end())
+            continue;
+        ++suspicion.crashes;
+        suspicion.position = candidate->second;
+        fewestCandidates = std::min(fewestCandidates, it.parts);
     }
     suspicion.answeredBefore = m_answered.contains(part);
     // The same request at several crashes by chance is rare, however many others are in flight.
     const int required = suspicion.isWholeRequest() ? MIN_CRASHES : requiredCrashes(fewestCandidates);
     suspicion.requiredCrashes
         = wasConvicted ? 1 : required + (suspicion.answeredBefore ? EXTRA_CRASHES_IF_ANSWERED_BEFORE : 0);
-    const bool explains = suspicion.crashes >= MIN_EXPLAINED_SHARE * groupsSinceFirst;
-    const bool isConvicted
-        = suspicion.crashes >= suspicion.requiredCrashes && explains && !isExplainedByRequest(suspicion, groups);
-    return isConvicted ? std::optional(suspicion) : std::nullopt;
+    if (suspicion.crashes < suspicion.requiredCrashes)
+        return std::nullopt;
+    const bool explains = suspicion.crashes >= MIN_EXPLAINED_SHARE * countNear(part, groups);
+    return explains && !isExplainedByRequest(suspicion, groups) ? std::optional(suspicion) : std::nullopt;
 }
 
 bool CrashEvidence::isExplainedByRequest(const Suspicion& suspicion, const std::vector<CrashGroup>& groups) const
@@ -237,15 +315,11 @@
 std::optional<Culprit> CrashEvidence::findCulprit(const absl::flat_hash_set<PromptPartId>& wasConvicted) const
 {
     const std::vector<CrashGroup> all = groups();
-    absl::flat_hash_set<PromptPartId> parts;
-    for (const CrashGroup& group : all) {
-        for (const auto& [part, position] : group.candidates) {
-            if (!m_convictedRequests.contains(part))
-                parts.insert(part);
-        }
-    }
     std::vector<Suspicion> suspicions;
-    for (const PromptPartId part : parts) {
+    for (const auto& [part, crashes] : m_suspects) {
+        const bool hasEnoughCrashes = crashes >= MIN_CRASHES || wasConvicted.contains(part);
+        if (!hasEnoughCrashes || m_convictedRequests.contains(part))
+            continue;
         if (const auto suspicion = judge(part, all, wasConvicted.contains(part)))
             suspicions.push_back(*suspicion);
     }
@@ -275,13 +349,23 @@
 {
     if (isWholeRequest) {
         m_convictedRequests[part] = now;
-        return;
+        return limitConvictedRequests();
     }
-    for (const Crash& it : m_crashes) {
-        if (std::any_of(it.parts.begin(), it.parts.end(), [&](const fleet::SuspectPart& s) { return s.part == part; }))
-            m_explained[{ it.upstream, it.startedAtMs }] = now;
+    for (const Crash& crash : m_crashes) {
+        const bool isExplained = std::any_of(crash.suspects.begin(), crash.suspects.end(),
+            [&](const Suspect& it) { return it.id.part == part && !it.clearedAt; });
+        if (isExplained)
+            m_explained[{ crash.upstream, crash.startedAtMs }] = now;
     }
     std::erase_if(m_crashes, [&](const Crash& it) { return m_explained.contains({ it.upstream, it.startedAtMs }); });
+    indexSuspects();
+}
+
+// While its crashes are known, a convicted request would be convicted again.
+void CrashEvidence::limitConvictedRequests()
+{
+    if (m_convictedRequests.size() > MAX_CONVICTED_REQUESTS)
+        absl::erase_if(m_convictedRequests, [this](const auto& entry) { return !m_suspects.contains(entry.first); });
 }
 
 void CrashEvidence::onExplained(const fleet::CrashReport& report, TimePoint now)
@@ -289,19 +373,45 @@
     m_explained[{ report.upstream, report.startedAtMs }] = now;
     std::erase_if(m_crashes,
         [&](const Crash& it) { return it.upstream == report.upstream && it.startedAtMs == report.startedAtMs; });
+    indexSuspects();
+}
+
+fleet::CrashReport CrashEvidence::reportOf(const Crash& crash, TimePoint now) const
+{
+    fleet::CrashReport report { .reporter = crash.reporter,
+        .upstream = crash.upstream,
+        .startedAtMs = crash.startedAtMs,
+        .ageMs = ageOf(crash.at, now) };
+    for (const Suspect& it : crash.suspects) {
+        if (!it.clearedAt)
+            report.parts.items.push_back(it.id);
+    }
+    return report;
+}
+
+const CrashEvidence::Crash* CrashEvidence::crashToRepeat(TimePoint now) const
+{
+    const Duration uptime = std::chrono::duration_cast<Duration>(now.time_since_epoch());
+    if (uptime % REPEAT_INTERVAL >= REPEAT_TIME)
+        return nullptr;
+    std::vector<const Crash*> known;
+    for (const Crash& crash : m_crashes) {
+        const bool hasSuspect = std::any_of(
+            crash.suspects.begin(), crash.suspects.end(), [](const Suspect& it) { return !it.clearedAt; });
+        if (hasSuspect && now - crash.learnedAt >= NEWS_TIME)
+            known.push_back(&crash);
+    }
+    return known.empty() ? nullptr : known[static_cast<std::size_t>(uptime / REPEAT_INTERVAL) % known.size()];
 }
 
 void CrashEvidence::addNotices(fleet::PoisonNotices& notices, fleet::NoticeScope scope, TimePoint now) const
 {
+    if (const Crash* crash = crashToRepeat(now))
+        notices.crashes.items.push_back(reportOf(*crash, now));
     for (auto it = m_crashes.rbegin(); it != m_crashes.rend(); ++it) {
         const bool told = now - it->learnedAt < NEWS_TIME && fleet::isInScope(it->source, scope);
-        if (!told || notices.crashes.items.size() >= MAX_CRASHES_PER_NOTICE)
-            continue;
-        notices.crashes.items.push_back({ .reporter = it->reporter,
-            .upstream = it->upstream,
-            .startedAtMs = it->startedAtMs,
-            .ageMs = ageOf(it->at, now),
-            .parts = { it->parts } });
+        if (told && notices.crashes.items.size() < MAX_CRASHES_PER_NOTICE)
+            notices.crashes.items.push_back(reportOf(*it, now));
     }
     for (const auto& [upstream, it] : m_signs) {
         if (isNews(it.newsAt, now) && fleet::isInScope(it.source, scope))
@@ -317,11 +427,11 @@
 
 void CrashEvidence::expire(TimePoint now)
 {
-    std::erase_if(m_crashes, [now](const Crash& it) { return now - it.at >= CRASH_RETENTION; });
-    absl::erase_if(m_answered, [now](const auto& entry) { return now - entry.second.at >= ANSWERED_RETENTION; });
-    absl::erase_if(m_convictedRequests, [now](const auto& entry) { return now - entry.second >= CRASH_RETENTION; });
-    absl::erase_if(m_explained, [now](const auto& entry) { return now - entry.second >= CRASH_RETENTION; });
-    absl::erase_if(m_signs, [now](const auto& entry) { return now - entry.second.sentAt >= SIGN_RETENTION; });
+    absl::erase_if(m_answered, [now](const auto& entry) {
+        return now - entry.second.at >= ANSWERED_RETENTION && !isNews(entry.second.newsAt, now);
+    });
+    keepNewer(m_explained, MAX_EXPLAINED, [](const auto& entry) { return entry.second; });
+    keepNewer(m_signs, MAX_SIGNS, [](const auto& entry) { return entry.second.sentAt; });
 }
 
 }
--- a/src/poison/internal/poisonguard.cpp
+++ b/src/poison/internal/poisonguard.cpp
@@ -21,27 +21,47 @@
     return found;
 }
 
+std::vector<PromptPartId> idsOf(const std::vector<fleet::SuspectPart>& parts)
+{
+    std::vector<PromptPartId> ids;
+    ids.reserve(parts.size());
+    for (const fleet::SuspectPart& it : parts)
+        ids.push_back(it.part);
+    return ids;
+}
+
 }
 
 std::optional<Refusal> PoisonGuard::refusalOf(const RequestSuspects& suspects, TimePoint now)
 {
     if (m_verdicts.empty())
         return std::nullopt;
-    std::vector<PromptPartId> ids;
-    for (const fleet::SuspectPart& it : suspectParts(suspects))
-        ids.push_back(it.part);
-    const Verdict* verdict = m_verdicts.find(ids, now);
+    const std::vector<PromptPartId> ids = idsOf(suspectParts(suspects));
+    const Verdict* verdict = m_verdicts.find(ids, mayTry(ids, now), now);
     if (!verdict)
         return std::nullopt;
     return Refusal { .part = verdict->part,
         .isWholeRequest = verdict->isWholeRequest,
-        .retryAfter = PartVerdicts::remaining(*verdict, now) };
+        .retryAfter = PartVerdicts::retryAfter(*verdict, now) };
+}
+
+bool PoisonGuard::mayTry(const std::vector<PromptPartId>& ids, TimePoint now) const
+{
+    return std::all_of(ids.begin(), ids.end(),
+        [&](PromptPartId id) { return !m_verdicts.contains(id) || !m_isTrialHost || m_isTrialHost(id, now); });
 }
 
 void PoisonGuard::onSent(AttemptNumber number, const ratelimit::UpstreamIncarnation& upstream,
     const RequestSuspects& suspects, TimePoint now)
 {
-    m_watch.onSent(number, { .upstream = upstream, .sentAt = now, .parts = suspectParts(suspects) });
+    const std::vector<fleet::SuspectPart> parts = suspectParts(suspects);
+    m_watch.onSent(number, { .upstream = upstream, .sentAt = now, .parts = parts });
+    if (m_verdicts.empty())
+        return;
+    for (const Verdict& it : m_verdicts.onSent(idsOf(parts), now)) {
+        m_hasNews = true;
+        m_events.push_back({ .change = VerdictChange::Tried, .verdict = it });
+    }
 }
 
 void PoisonGuard::onAnswerBegun(AttemptNumber number, TimePoint now)
@@ -121,10 +141,9 @@
 {
     if (m_evidence.onAnswered(part, answeredAt, source, now))
         onEvidence();
-    const auto ended = m_verdicts.onAnswered(part, answeredAt);
+    const auto ended = m_verdicts.onAnswered(part, answeredAt, now);
     if (!ended)
         return;
-    m_evidence.announceAnswered(part, now);
     m_hasNews = true;
     m_events.push_back(
         { .change = VerdictChange::Withdrawn, .verdict = { .part = part, .isWholeRequest = ended->isWholeRequest } });
@@ -167,10 +186,13 @@
         const bool isWholeRequest = std::find(requests.begin(), requests.end(), it.part) != requests.end();
         const Verdict verdict = verdictOf(it, isWholeRequest, now);
         const auto answered = m_evidence.answeredAt(it.part);
-        const bool isCleared = answered && *answered > verdict.lastCrashAt;
-        if (!isCleared && PartVerdicts::remaining(verdict, now) > Duration(0))
+        const bool isCleared = (answered && *answered > verdict.lastCrashAt)
+            || m_verdicts.isWithdrawn(it.part, verdict.lastCrashAt, now);
+        if (!isCleared)
             onVerdict(verdict, VerdictChange::Learned, now);
     }
+    for (const fleet::VerdictTrials& it : notices.trials.items)
+        m_hasNews = m_verdicts.onTried(it.part, it.trials, now - Duration(it.ageMs)) || m_hasNews;
     for (const fleet::CrashReport& it : notices.crashes.items) {
         const ratelimit::UpstreamIncarnation upstream { .upstream = it.upstream, .startedAtMs = it.startedAtMs };
         const TimePoint crashAt = now - Duration(it.ageMs);
@@ -203,9 +225,9 @@
             onAnswered(it.part, *attempt.headAt, NoticeSource::ThisHost, now);
     }
     judge(now);
-    for (const Verdict& it : m_verdicts.expire(now))
+    for (const Verdict& it : m_verdicts.takeDropped())
         m_events.push_back(
-            { .change = VerdictChange::Ended, .verdict = { .part = it.part, .isWholeRequest = it.isWholeRequest } });
+            { .change = VerdictChange::Dropped, .verdict = { .part = it.part, .isWholeRequest = it.isWholeRequest } });
     m_evidence.expire(now);
 }
 
