--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -122,8 +122,8 @@
     // Whether the request may be sent again while its present attempt is open.
     bool maySendBeside(TimePoint now);
     // Takes an upstream for another attempt, while the present one is open; no value if none can begin.
-    std::optional<balancing::Ticket> pickBeside(const balancing::UpstreamRequirements& requirements,
-        const std::optional<UpstreamId>& permitted, TimePoint now);
+    std::optional<balancing::Ticket> pickBeside(
+        const balancing::UpstreamRequirements& requirements, const std::optional<UpstreamId>& permitted, TimePoint now);
     // Sends the request or asks for the permit to; returns false if neither is possible.
     bool trySend(TimePoint now);
     // Sends the request to the upstream that a permit was granted for, or to one without a limit; returns false if none
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -104,10 +104,7 @@
 }
 
 // Other hosts may have found out while the request waited, or while an attempt was open.
-bool RequestFlow::maySend(TimePoint now)
-{
-    return isAwaited(now) && keyIsValid(now) && !failIfItCrashesUpstreams(now);
-}
+bool RequestFlow::maySend(TimePoint now) { return isAwaited(now) && keyIsValid(now) && !failIfItCrashesUpstreams(now); }
 
 bool RequestFlow::failIfItCrashesUpstreams(TimePoint now)
 {
@@ -476,8 +473,7 @@
 balancing::UpstreamRequirements RequestFlow::requirementsBesideSilent(TimePoint now) const
 {
     balancing::UpstreamRequirements others = m_target.requirementsBeside(m_ticket->upstream, now);
-    others.condition
-        = m_isSilent ? balancing::UpstreamCondition::Usable : balancing::UpstreamCondition::Healthy;
+    others.condition = m_isSilent ? balancing::UpstreamCondition::Usable : balancing::UpstreamCondition::Healthy;
     return others;
 }
 
--- a/src/entry/tests/silentupstream_test.cpp
+++ b/src/entry/tests/silentupstream_test.cpp
@@ -101,10 +101,10 @@
                 },
             .remove = [](Deployment& it, FlowUnderTest&) { it.catalog.onEvacuationEnded(OTHER_DATA_CENTRE); } },
         { .name = "others drain",
-            .apply = [](Deployment& it,
-                         FlowUnderTest& flow) { setPhaseOfOthers(it, flow, catalog::UpstreamPhase::Draining); },
-            .remove = [](Deployment& it,
-                          FlowUnderTest& flow) { setPhaseOfOthers(it, flow, catalog::UpstreamPhase::Ready); } },
+            .apply
+            = [](Deployment& it, FlowUnderTest& flow) { setPhaseOfOthers(it, flow, catalog::UpstreamPhase::Draining); },
+            .remove
+            = [](Deployment& it, FlowUnderTest& flow) { setPhaseOfOthers(it, flow, catalog::UpstreamPhase::Ready); } },
         { .name = "others are full",
             .apply =
                 [](Deployment& it, FlowUnderTest& flow) {
@@ -127,8 +127,7 @@
                     forOthers(flow, [&](const UpstreamId& id) {
                         // At the end of each ejection, which is twice as long as the one before.
                         for (const Duration after : { Duration(0), Duration(1000), Duration(3000) })
-                            it.balancer.onEnded(
-                                ticketAt(it, id), balancing::SendOutcome::Unreachable, START + after);
+                            it.balancer.onEnded(ticketAt(it, id), balancing::SendOutcome::Unreachable, START + after);
                     });
                 } },
         { .name = "no retry budget",
@@ -207,8 +206,7 @@
             obstacle.apply(it, *flow);
             const TimePoint end = SILENT_FROM + (beginning.isStream ? SILENCE : SERVICE_SILENCE);
             passUntil(*flow, SILENT_FROM, end);
-            cr_expect_eq(
-                flow->actions.cancelled, 0, "%s, %s: given up", beginning.name.c_str(), obstacle.name.c_str());
+            cr_expect_eq(flow->actions.cancelled, 0, "%s, %s: given up", beginning.name.c_str(), obstacle.name.c_str());
             finish(*flow, beginning, end);
             cr_expect(flow->actions.finished && !flow->actions.aborted, "%s, %s: not whole", beginning.name.c_str(),
                 obstacle.name.c_str());
@@ -244,8 +242,7 @@
         const auto flow = begin(it, beginning);
         passUntil(*flow, SILENT_FROM, SILENT_FROM + (beginning.isStream ? SILENCE : SERVICE_SILENCE));
         cr_assert_geq(flow->actions.attempts.size(), 2, "%s", beginning.name.c_str());
-        cr_expect(
-            flow->actions.attempts[0].directives.upstream != flow->actions.attempts[1].directives.upstream);
+        cr_expect(flow->actions.attempts[0].directives.upstream != flow->actions.attempts[1].directives.upstream);
     }
 }
 
--- a/tests/entry/keyrequirement_test.cpp
+++ b/tests/entry/keyrequirement_test.cpp
@@ -56,8 +56,8 @@
         for (const std::string& headers : { KEY_HEADER, UNKNOWN_KEY_HEADER, std::string() }) {
             const std::size_t before = it.received.size();
             it.request(n, "/keyed/x", headers);
-            cr_expect_eq(it.received.size(), before, "%s: host %zu runs a request with '%s'", when.c_str(), n,
-                headers.c_str());
+            cr_expect_eq(
+                it.received.size(), before, "%s: host %zu runs a request with '%s'", when.c_str(), n, headers.c_str());
         }
         cr_expect(hasStatus(it.request(n, "/open/x"), STATUS_OK), "%s: host %zu, a route for all", when.c_str(), n);
     }
