A silent attempt looks for another upstream again after a passing obstacle

While keys were not confirmed for a moment, or a part was refused, at the time-out of a silent attempt, no other upstream was looked for any more, and the silence didn't count against its upstream.

--- a/include/fireflyhaven/entry/requestflow.h
+++ b/include/fireflyhaven/entry/requestflow.h
@@ -150,6 +150,8 @@
     void onProgressTimeout(TimePoint now);
     // Returns false if no other attempt can begin; the present one then goes on.
     bool replaceAttempt(const std::optional<UpstreamId>& permitted, TimePoint now);
+    // The permit that the replacement of a silent attempt needs; no value if it needs none or cannot begin.
+    std::optional<balancing::PermitNeed> permitBeside(TimePoint now);
     // Requirements on an upstream that replaces the present one, which makes no progress.
     balancing::UpstreamRequirements requirementsBesideSilent(TimePoint now) const;
     // Cancels an answer of which the caller has received nothing.
--- a/src/entry/internal/requestflow.cpp
+++ b/src/entry/internal/requestflow.cpp
@@ -457,10 +457,9 @@
     m_attemptDeadline.reset();
     if (m_stage == Stage::AwaitingHead)
         m_context.reach.onOverdue(m_ticket->upstream, m_ticket->sentAt, now);
-    if (!maySendBeside(now))
+    if (!mayRetry(true, now))
         return;
-    const auto others = requirementsBesideSilent(now);
-    if (const auto need = m_context.balancer.neededPermit(others, m_context.host.sendingHostCount(now), now))
+    if (const auto need = permitBeside(now))
         return m_permit.begin(*need, now);
     if (replaceAttempt(std::nullopt, now))
         return;
@@ -477,6 +476,14 @@
     return others;
 }
 
+std::optional<balancing::PermitNeed> RequestFlow::permitBeside(TimePoint now)
+{
+    if (!maySendBeside(now))
+        return std::nullopt;
+    const int hosts = m_context.host.sendingHostCount(now);
+    return m_context.balancer.neededPermit(requirementsBesideSilent(now), hosts, now);
+}
+
 bool RequestFlow::replaceAttempt(const std::optional<UpstreamId>& permitted, TimePoint now)
 {
     constexpr std::string_view REASON = "no progress within the timeout";
--- a/src/entry/tests/silentupstream_test.cpp
+++ b/src/entry/tests/silentupstream_test.cpp
@@ -139,6 +139,9 @@
                 [](Deployment& it, FlowUnderTest&) {
                     it.retries = dispatch::RetryBudgets({ .ratio = 1, .slack = 100, .maxAttempts = 100 });
                 } },
+        { .name = "keys not confirmed for a while",
+            .apply = [](Deployment& it, FlowUnderTest&) { it.host.keysAccepted = false; },
+            .remove = [](Deployment& it, FlowUnderTest&) { it.host.keysAccepted = true; } },
         { .name = "key revoked",
             .apply =
                 [](Deployment& it, FlowUnderTest&) {
