A crash that replaces an earlier loss at its incarnation is told to the other hosts

findOrAdd says whether the crash is new; a withdrawn crash counts the suspects anew. crashEvidence.crashReplacesAnEarlierLossAtItsIncarnation fails without the change, poison 41 of 41 pass with it (x86_64).

--- a/include/fireflyhaven/poison/crashevidence.h
+++ b/include/fireflyhaven/poison/crashevidence.h
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace fireflyhaven::poison {
@@ -103,9 +104,10 @@
         bool isWholeRequest() const { return position == fleet::WHOLE_REQUEST; }
     };
 
-    // Finds the crash of this report; adds it if it is new. Null where the report is of an earlier moment than the
-    // known crash of its incarnation, and so was no crash.
-    Crash* findOrAdd(const fleet::CrashReport& report, fleet::NoticeSource source, TimePoint at, TimePoint now);
+    // Finds the crash of this report, or adds it; the flag tells whether it is new. Null where the report is of an
+    // earlier moment than the known crash of its incarnation, and so was no crash.
+    std::pair<Crash*, bool> findOrAdd(
+        const fleet::CrashReport& report, fleet::NoticeSource source, TimePoint at, TimePoint now);
     // Adds a suspect; returns false if it is known.
     bool addSuspect(Crash& crash, const fleet::SuspectPart& id, TimePoint now);
     // Clears the suspect of the crashes that it outlived; returns whether there are any.
@@ -114,7 +116,7 @@
     void announceCleared(PromptPartId part, TimePoint answeredAt, TimePoint now);
     // Drops the crash that says least, where there are too many.
     void limitCrashes();
-    // Notes which parts and requests are suspects that are not cleared.
+    // Counts the suspects anew, after crashes have come or gone.
     void indexSuspects();
     fleet::CrashReport reportOf(const Crash& crash, TimePoint now) const;
     // The crash that is told again now, although it is no news; null if there is none to tell.
--- a/src/poison/internal/crashevidence.cpp
+++ b/src/poison/internal/crashevidence.cpp
@@ -90,11 +90,10 @@
     }
     if (m_explained.contains({ report.upstream, report.startedAtMs }))
         return false;
-    const std::size_t before = m_crashes.size();
-    Crash* crash = findOrAdd(report, source, at, now);
+    const auto [crash, isNew] = findOrAdd(report, source, at, now);
     if (!crash)
         return false;
-    bool changed = m_crashes.size() > before;
+    bool changed = isNew;
     for (const fleet::SuspectPart& it : report.parts.items)
         changed = addSuspect(*crash, it, now) || changed;
     if (!changed)
@@ -105,26 +104,27 @@
     return true;
 }
 
-CrashEvidence::Crash* CrashEvidence::findOrAdd(
+std::pair<CrashEvidence::Crash*, bool> CrashEvidence::findOrAdd(
     const fleet::CrashReport& report, fleet::NoticeSource source, TimePoint at, TimePoint now)
 {
     const auto known = std::find_if(m_crashes.begin(), m_crashes.end(),
         [&](const Crash& it) { return it.upstream == report.upstream && it.startedAtMs == report.startedAtMs; });
     if (known != m_crashes.end() && at < known->at - SAME_CRASH_WINDOW)
-        return nullptr;
+        return { nullptr, false };
     if (known != m_crashes.end() && at < known->at + SAME_CRASH_WINDOW)
-        return &*known;
+        return { &*known, false };
     // An incarnation crashes once, so that the earlier loss was no crash.
     if (known != m_crashes.end())
         m_crashes.erase(known);
     const auto later = std::find_if(m_crashes.begin(), m_crashes.end(), [at](const Crash& it) { return it.at > at; });
-    return &*m_crashes.insert(later,
+    const auto added = m_crashes.insert(later,
         Crash { .reporter = report.reporter,
             .upstream = report.upstream,
             .startedAtMs = report.startedAtMs,
             .at = at,
             .source = source,
             .learnedAt = now });
+    return { &*added, true };
 }
 
 bool CrashEvidence::addSuspect(Crash& crash, const fleet::SuspectPart& id, TimePoint now)
@@ -182,9 +182,11 @@
     const std::size_t withdrawn = std::erase_if(m_crashes, [&](const Crash& it) {
         return it.upstream == sign.upstream && it.startedAtMs == sign.startedAtMs && it.at < sentAt;
     });
-    if (withdrawn > 0)
-        known.newsAt = now;
-    return withdrawn > 0;
+    if (withdrawn == 0)
+        return false;
+    known.newsAt = now;
+    indexSuspects();
+    return true;
 }
 
 bool CrashEvidence::onAnswered(PromptPartId part, TimePoint answeredAt, fleet::NoticeSource source, TimePoint now)
--- a/src/poison/tests/crashevidence_test.cpp
+++ b/src/poison/tests/crashevidence_test.cpp
@@ -259,6 +259,20 @@
     cr_assert(evidence.findCulprit(NONE_CONVICTED));
 }
 
+// A loss that was no crash is known of the incarnation. Guards against keeping its suspects, and against not telling
+// the other hosts of the crash, at which they may have suspects.
+Test(crashEvidence, crashReplacesAnEarlierLossAtItsIncarnation)
+{
+    CrashEvidence evidence;
+    evidence.onCrash(crash(1, { DEADLY }), NoticeSource::ThisHost, START);
+    cr_assert(evidence.onCrash(crash(1, {}), NoticeSource::ThisHost, START + Duration(60'000)));
+    cr_assert_eq(evidence.crashes(), 1);
+    fleet::PoisonNotices notices;
+    evidence.addNotices(notices, fleet::NoticeScope::Host, START + Duration(60'100));
+    cr_assert(notices.crashes.items.size() == 1 && notices.crashes.items.front().parts.items.empty());
+    cr_assert(!evidence.onCrash(crash(1, { DEADLY }), NoticeSource::ThisHost, START));
+}
+
 // Guards against forgetting an answer that clears a part while the crash is remembered.
 Test(crashEvidence, clearedPartIsNoSuspectHoursLater)
 {
--- a/src/poison/tests/guardfleet.h
+++ b/src/poison/tests/guardfleet.h
@@ -75,7 +75,6 @@
         return number;
     }
     void answer(std::size_t host, AttemptNumber number) { guards[host].onAnswerBegun(number, now); }
-    // A request with the deadly part crashes the upstream 50 ms after the head of its answer.
     // The connection is lost, and the upstream is found crashed.
     void lose(std::size_t host, AttemptNumber number, std::uint32_t at)
     {
@@ -83,6 +82,7 @@
         for (const ratelimit::UpstreamIncarnation& it : guards[host].takeUnconfirmedCrashes())
             guards[host].onCrashChecked(it, true, now);
     }
+    // A request with the deadly part crashes the upstream 50 ms after the head of its answer.
     void crashWithDeadly(std::size_t host, std::uint32_t at)
     {
         const AttemptNumber number = send(host, at, DEADLY.value());
